Refuse only marked later tries as late, not hurried first tries

The module took any request with little time left for a later try whose aim had passed, and refused it. Clients in a hurry send such requests as first tries.

Test: TestHurriedFirstTriesAreServed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,7 +92,8 @@
 // late: a client's later try whose aim has passed already; the time left is less than that of first tries.
 func (b *Balancer) late(r *request) bool {
 	r.stats.longest = max(r.stats.longest, r.Remaining)
-	return r.Remaining < 0.99*r.stats.longest && r.Remaining <= r.class.Deadline-r.class.Aim
+	later := r.Repeat || !b.cfg.MarksRepeat // else a client in a hurry, whose aim is yet to come
+	return later && r.Remaining < 0.99*r.stats.longest && r.Remaining <= r.class.Deadline-r.class.Aim
 }
 
 // openLoad is what is in flight, each attempt as one over its aim; what hangs at resting servers is theirs.
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -373,6 +373,28 @@
 	}
 }
 
+// Clients in a hurry, who wait for less than the class allows, were taken for late tries and refused although their
+// answers would have come in time. Where later tries are marked only those can be late.
+func TestHurriedFirstTriesAreServed(t *testing.T) {
+	for _, c := range []struct {
+		marks, repeat, sent bool
+	}{
+		{marks: true, repeat: false, sent: true},   // in a hurry
+		{marks: true, repeat: true, sent: false},   // the aim of its first try has passed
+		{marks: false, repeat: false, sent: false}, // as likely a later try: nothing tells them apart
+	} {
+		cfg := baseConfig()
+		cfg.MarksRepeat = c.marks
+		g := newRig(t, cfg, fleet(4)...)
+		id, _ := g.ask(safeClass) // tells how long a client in no hurry waits
+		g.answer(id, 0, OK, 30)
+		acts := g.do(Request{ID: 77, Remaining: 50, Repeat: c.repeat})
+		if _, sent := sentTo(acts); sent != c.sent || has(acts, Refuse) == c.sent {
+			t.Errorf("%+v: %+v", c, acts)
+		}
+	}
+}
+
 // A server that leaves several attempts unanswered is rested, and used again after an answer.
 func TestStrikesRestAServer(t *testing.T) {
 	g := newRig(t, baseConfig(), fleet(3)...)
