Hold no probe against a server that this side had no socket for

A probe that found no socket to spare was told to the module as a failed connect, which rested the server as out of reach. It is moot now, as an attempt is.

Tests: TestAProbeNeverMadeRestsNoServer, TestSocketBudget.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -185,11 +185,15 @@
 		return
 	}
 	s.probing = false
-	if ev.Result != OK { // out of reach: the process may run, but nothing gets through from here
+	switch ev.Result {
+	case OK:
+		if b.note(s, ev.Report); s.dark {
+			s.pardon()
+		}
+	case Moot: // this side had no connection to spare: that says nothing of the server
+	default: // out of reach: the process may run, but nothing gets through from here
 		b.rest(s)
 		s.dark = true
-	} else if b.note(s, ev.Report); s.dark {
-		s.pardon()
 	}
 	b.stepHeld()
 }
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1140,3 +1140,19 @@
 		}
 	}
 }
+
+// A probe that was never made, as this side had no socket for it, says nothing of the server.
+func TestAProbeNeverMadeRestsNoServer(t *testing.T) {
+	for res, rests := range map[Result]bool{Moot: false, TimedOut: true, ConnectFailed: true} {
+		cfg := baseConfig()
+		cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight}
+		g := newRig(t, cfg, fleet(2)...)
+		if _, acts := g.ask(safeClass); !has(acts, Probe) {
+			t.Fatal("nothing is probed")
+		}
+		g.do(ProbeResult{Server: 1, Result: res, Took: 1})
+		if got := g.b.resting(g.b.byID[1]); got != rests {
+			t.Errorf("result %d: resting: %v", res, got)
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -196,6 +196,9 @@
 func (u *upstream) ask(ctx context.Context, e *endpoint) result {
 	cut := time.Now().Add(u.pool.connectTimeout + probePatience)
 	c, err := u.pool.get(ctx, e, cut)
+	if err != nil && (errors.Is(err, errNoSocket) || ctx.Err() != nil) { // this side failed
+		return result{outcome: balance.Moot}
+	}
 	if err != nil {
 		return result{outcome: balance.ConnectFailed}
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -141,6 +141,9 @@
 	}
 	defer u.pool.drop(c)
 	u.want(t, newAttempt(at(second.addr), patience), balance.Moot)
+	if r := u.ask(context.Background(), at(second.addr)); r.outcome != balance.Moot {
+		t.Errorf("a probe without a socket: outcome %d, want %d", r.outcome, balance.Moot)
+	}
 }
 
 // Where the server's answer goes on beyond its end, the connection must not be used again.
