Ask a silent agent again before what it tells counts as told

A watch on an agent that fell silent was given up after 7 s, a call for the whole list after 5 s. What discovery tells counts as told 2 s after the hold of a watch, thus after 6 s, and 4 s after a reload: drains could be missed by a second. For an agent, which answers at once, both limits are a second beyond the hold now.

Test: TestSilentAgentIsAskedAgainInTime.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -22,6 +22,9 @@
 	watchHold   = 4 * time.Second
 	watchSpare  = 3 * time.Second // how long a watch may take beyond that: it waits in turn with other sidecars'
 	callTimeout = 5 * time.Second // ... and how long a call for the whole list may take
+	// agentSpare is both for an agent: that answers at once, and what it has to tell counts as told 2 s after the hold
+	// of a watch is over, and 4 s after a reload. By then another call must have brought it.
+	agentSpare  = time.Second
 	maxList     = 4 << 20
 	leastGap    = 100 * time.Millisecond // between calls that bring nothing new; a watch ends after 200
 	pushPause   = 100 * time.Millisecond // before a failed call that nobody asks for is made again; doubles each time
@@ -69,6 +72,8 @@
 type discovery struct {
 	client   *http.Client
 	pushed   bool          // the address is an agent that has the list sent to it
+	spare    time.Duration // how long a watch may take beyond its hold
+	listTime time.Duration // how long a call for the whole list may take
 	asked    chan struct{} // the module wants a watch
 	post     func(any)
 	revision int64 // of the list held
@@ -80,15 +85,21 @@
 }
 
 func newDiscovery(cfg *Config, post func(any)) *discovery {
-	return &discovery{
+	d := &discovery{
 		addr:     cfg.Discovery,
 		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConns: 1}},
 		held:     cfg.Known.Complete,
 		revision: cfg.Known.Revision,
 		pushed:   !cfg.Balance.Subscribe,
+		spare:    watchSpare,
+		listTime: callTimeout,
 		asked:    make(chan struct{}, 1),
 		post:     post,
 	}
+	if d.pushed {
+		d.spare, d.listTime = agentSpare, agentSpare
+	}
+	return d
 }
 
 // watch asks for a watch; where one is on or asked for already there is nothing to do.
@@ -186,15 +197,15 @@
 // call waits for what is newer than the list held, or gets the whole list where none is held.
 func (d *discovery) call(ctx context.Context, addr string) (*list, error) {
 	if !d.held {
-		return d.get(ctx, addr, nil, callTimeout)
+		return d.get(ctx, addr, nil, d.listTime)
 	}
 	l, err := d.get(ctx, addr, url.Values{
 		"from":    {strconv.FormatInt(d.revision, 10)},
 		"hold_ms": {strconv.FormatInt(watchHold.Milliseconds(), 10)},
-	}, watchHold+watchSpare)
+	}, watchHold+d.spare)
 	if err == nil && !l.Complete && l.Revision < d.revision {
 		// Changes to an older list than the one held: discovery has lost its place, and only a whole list helps.
-		return d.get(ctx, addr, nil, callTimeout)
+		return d.get(ctx, addr, nil, d.listTime)
 	}
 	return l, err
 }
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -156,3 +157,43 @@
 		t.Errorf("noticed after %v", took)
 	}
 }
+
+// silence is a discovery that takes calls and answers none.
+type silence struct{ calls chan time.Time }
+
+func (s silence) RoundTrip(req *http.Request) (*http.Response, error) {
+	s.calls <- time.Now()
+	<-req.Context().Done()
+	return nil, req.Context().Err()
+}
+
+// What an agent has to tell counts as told 2 s after the hold of a watch is over, and 4 s after a reload: one that
+// fell silent with a call open must have been asked again by then, or a drain is missed.
+func TestSilentAgentIsAskedAgainInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		held   bool
+		within time.Duration
+	}{
+		"watch":      {true, watchHold + 2*time.Second},
+		"whole list": {false, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cfg := testConfig(t)
+				cfg.Balance.Subscribe, cfg.Known.Complete = false, c.held
+				d := newDiscovery(cfg, func(any) {})
+				calls := make(chan time.Time)
+				d.client.Transport = silence{calls}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { d.run(ctx); close(done) }()
+				first := <-calls
+				if took := (<-calls).Sub(first); took >= c.within {
+					t.Errorf("asked again after %v, want less than %v", took, c.within)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
