Drop idle connections to a server that has started again

A machine that vanishes leaves connections that stay open and silent. When its server was listed with a new start, idle ones were kept, and a request written to one was reset, which may have run. They are closed with the news of the restart.

Test: TestARestartedServerGetsNewConnections.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -409,7 +409,10 @@
 		l.lastNode++
 		e = &endpoint{id: l.lastNode, name: m.ID}
 		l.endpoints[m.ID], l.byID[e.id] = e, e
+	} else if m.UpSince > e.upSince {
+		l.upstream.pool.closeIdle(e) // they led to the process before, and may look open all the same
 	}
+	e.upSince = m.UpSince
 	addr := m.HostPort // a pointer into the list would keep all of it
 	e.addr.Store(&addr)
 	e.closed.Store(m.Phase != "ready")
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -218,6 +218,26 @@
 	}
 }
 
+// A machine that vanished leaves connections that look open. Once its server has started again they lead nowhere: a
+// request written to one is reset, and may have run for all that anyone can tell.
+func TestARestartedServerGetsNewConnections(t *testing.T) {
+	s := newScript(t, say(200, "served"))
+	n := startNode(t, testConfig(t, ready("s-1", s.addr)))
+	next(t, n.roster.calls)
+	for up, want := range []int{1, 2, 2} {
+		if resp, _ := n.do(n.request("read")); resp.StatusCode != 200 {
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+		if _, _, conns := s.seen(); conns != want {
+			t.Errorf("after %d lists: %d connections, want %d", up, conns, want)
+		}
+		restarted := ready("s-1", s.addr)
+		restarted.UpSince = 5 // the same in both lists
+		n.roster.lists <- list{Revision: int64(50 + up), Members: []member{restarted}}
+		next(t, n.roster.calls) // the list has reached the loop
+	}
+}
+
 // A refused client is told when to come back, which it may do without harm.
 func TestRefusalsSayWhenToComeBack(t *testing.T) {
 	s := newScript(t, say(503, "", "X-Never-Ran: 1"))
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -28,10 +28,11 @@
 
 // endpoint is one server as the upstream side knows it. The loop changes it, attempts read it.
 type endpoint struct {
-	id     balance.ServerID
-	name   string
-	addr   atomic.Pointer[string]
-	closed atomic.Bool // it drains or is gone: nothing new may be sent
+	id      balance.ServerID
+	name    string
+	upSince float64 // of the loop: when the server last started
+	addr    atomic.Pointer[string]
+	closed  atomic.Bool // it drains or is gone: nothing new may be sent
 }
 
 // attempt is one try of a request at an endpoint. Its fields do not change but for the flags.
