Count resting servers in the fleet of which a cold server gets its part

The budget of a cold server is its part of the pace of answers. While others rested, the part was taken of the rest only, but the pace still held the answers of those that rested: with two of four resting a cold server got 21 of 100 requests, 7 before.

Test: TestRestingServersGiveNoColdBudget.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -300,13 +300,16 @@
 	b.expect(r)
 	for _, s := range b.servers {
 		s.weight = 0
-		if !b.allowed(r, s) || b.resting(s) && !all {
+		if !b.allowed(r, s) {
 			continue
 		}
 		s.share = b.capacity(s)
+		pool += s.share // resting ones too: their answers are in the pace of which a cold one gets its part
+		if b.resting(s) && !all {
+			continue
+		}
 		s.weight = s.share * b.favour(s) * b.trust(r, s)
 		total += s.weight
-		pool += s.share
 		s.known = b.fresh(s)
 		fresh = fresh || s.known
 	}
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1156,3 +1156,29 @@
 		}
 	}
 }
+
+// While warm servers rest their answers still count in the pace of which a cold server gets its part: with only the
+// others as the whole, its budget was a multiple of what it may get.
+func TestRestingServersGiveNoColdBudget(t *testing.T) {
+	servers := fleet(4)
+	servers[3].StartedAt = 900 // 100 ms ago
+	g := newRig(t, baseConfig(), servers...)
+	cold := func(n int) (sent int) {
+		for range n {
+			g.now += 10
+			id, acts := g.ask(safeClass)
+			if to, _ := sentTo(acts); to == 4 {
+				sent++
+			}
+			g.answer(id, 0, OK, 30)
+		}
+		return sent
+	}
+	before := cold(100)
+	for _, s := range g.b.servers[:2] {
+		s.restUntil = g.now + 1000
+	}
+	if during := cold(100); during > before+before/2+2 {
+		t.Errorf("the cold server got %d of 100 while two others rest, %d before", during, before)
+	}
+}
