Let one lost probe block no server that answers others

A server stayed probed until its probe ended, 350 ms later for a lost one, had no fresh report so long, and was rested then. Some lost probes kept most of the fleet out, and requests were refused. What is heard of a server after the report was due now tells that it is within reach: it is probed again and not rested.

Test: TestALostProbeBlocksNoServer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -168,8 +168,8 @@
 			break
 		}
 		r.probed = append(r.probed, next)
-		if !next.probing {
-			next.probing = true
+		if !next.probing || b.within(next, next.probedAt) {
+			next.probing, next.probedAt = true, b.now
 			b.emit(Action{Kind: Probe, Server: next.ID})
 		}
 	}
@@ -184,20 +184,31 @@
 	if s == nil {
 		return
 	}
-	s.probing = false
-	switch ev.Result {
-	case OK:
+	sent := b.now - ev.Took
+	switch {
+	case ev.Result == OK:
 		if b.note(s, ev.Report); s.dark {
 			s.pardon()
 		}
-	case Moot: // this side had no connection to spare: that says nothing of the server
+		s.heardAt = b.now
+	case ev.Result == Moot: // this side had no connection to spare: that says nothing of the server
+	case b.within(s, sent): // this probe was lost
+		if s.probedAt > sent+1 { // a later one is out
+			return
+		}
 	default: // out of reach: the process may run, but nothing gets through from here
 		b.rest(s)
 		s.dark = true
 	}
+	s.probing = false
 	b.stepHeld()
 }
 
+// within: a server is within reach that was heard of after a probe's report was due, though it never came.
+func (b *Balancer) within(s *server, probed float64) bool {
+	return s.heardAt > probed+probeAims*b.longestAim
+}
+
 // held reports whether a request still waits for its probes; it never waits for long.
 func (b *Balancer) held(r *request) bool {
 	for _, s := range r.probed {
@@ -561,7 +572,7 @@
 	}
 	switch ev.Result {
 	case OK:
-		s.newest = max(s.newest, a.sent)
+		s.newest, s.heardAt = max(s.newest, a.sent), b.now
 		gone := s.downs >= goneAfter || s.downs > 0 && b.now > s.lastErr+comeback
 		if gone && !b.cold(s) { // and is back: a restart that the list has yet to tell
 			b.chill(s, b.now)
--- a/balance/state.go
+++ b/balance/state.go
@@ -80,6 +80,8 @@
 	tokensAt  float64
 
 	probing    bool
+	probedAt   float64 // when the last probe was sent
+	heardAt    float64 // when an answer or a report came last
 	reported   float64 // requests it held at the last report
 	reportedAt float64
 	sentSince  float64 // own sends since
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1157,6 +1157,42 @@
 	}
 }
 
+// One lost probe in many kept a server out until it timed out, and rested it then, although the server answered all the
+// while. What is heard of a server after the report was due tells that it is within reach.
+func TestALostProbeBlocksNoServer(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		cfg := baseConfig()
+		cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight}
+		g := newRig(t, cfg, fleet(2)...)
+		first, _ := g.ask(safeClass)
+		g.do(ProbeResult{Server: 1, Took: 1, Report: []float32{0}})
+		at, sent := sentTo(g.do(ProbeResult{Server: 2, Took: 1, Report: []float32{0}}))
+		if !sent {
+			t.Fatal("nothing is sent after the reports")
+		}
+		g.now += 10
+		g.ask(safeClass) // its probe of the server is lost
+		lost := g.now
+		g.now += 60
+		if heard {
+			g.answer(first, 0, OK, 70)
+		}
+		_, acts := g.ask(safeClass)
+		again := false
+		for _, a := range acts {
+			again = again || a.Kind == Probe && a.Server == at
+		}
+		if again != heard {
+			t.Errorf("heard of: %v, probed again: %v", heard, again)
+		}
+		g.now += 290
+		g.do(ProbeResult{Server: at, Result: TimedOut, Took: g.now - lost})
+		if got := g.b.resting(g.b.byID[at]); got == heard {
+			t.Errorf("heard of: %v, resting: %v", heard, got)
+		}
+	}
+}
+
 // While warm servers rest their answers still count in the pace of which a cold server gets its part: with only the
 // others as the whole, its budget was a multiple of what it may get.
 func TestRestingServersGiveNoColdBudget(t *testing.T) {
