Rest no server for a probe whose connection was reset

Where many connections break, probes break too, and each that did rested a server that was well, as if nothing got through to it.

Test: TestAProbeNeverMadeRestsNoServer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -191,7 +191,7 @@
 			s.pardon()
 		}
 		s.heardAt = b.now
-	case ev.Result == Moot: // this side had no connection to spare: that says nothing of the server
+	case ev.Result == Reset || ev.Result == Moot: // a connection broke, or there was none: another may do
 	case b.within(s, sent): // this probe was lost
 		if s.probedAt > sent+1 { // a later one is out
 			return
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1141,9 +1141,10 @@
 	}
 }
 
-// A probe that was never made, as this side had no socket for it, says nothing of the server.
+// A probe that was never made, as this side had no socket for it, says nothing of the server, and one whose connection
+// broke hardly more: on days when many break, that rested most of the fleet.
 func TestAProbeNeverMadeRestsNoServer(t *testing.T) {
-	for res, rests := range map[Result]bool{Moot: false, TimedOut: true, ConnectFailed: true} {
+	for res, rests := range map[Result]bool{Moot: false, Reset: false, TimedOut: true, ConnectFailed: true} {
 		cfg := baseConfig()
 		cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight}
 		g := newRig(t, cfg, fleet(2)...)
