Hold no time-out of a hurried client against the server

A client that waits for less than answers take ended its request as timed out, which counted as an error of the server and rested it after three. An attempt that is not overdue yet says nothing of the server.

Test: TestShortTimeIsNoFaultOfTheServer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -586,6 +586,9 @@
 		r.stats.add(ev.Took, b.gain()/2)
 	case Cancelled, Moot:
 	default:
+		if ev.Result == TimedOut && !a.overdue { // the client had less time than answers take
+			return
+		}
 		b.countLate(ev.Result == TimedOut || ev.Result == Full)
 		if ev.Result == Full { // no answer is slower than one that is turned away
 			b.slowness += (2 - b.slowness) * b.gain()
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1219,3 +1219,29 @@
 		t.Errorf("the cold server got %d of 100 while two others rest, %d before", during, before)
 	}
 }
+
+// A client that waits for less than answers take ends its request early: that says nothing of the server. Taken for
+// errors, a few such clients rested servers that were well.
+func TestShortTimeIsNoFaultOfTheServer(t *testing.T) {
+	cfg := baseConfig()
+	cfg.MarksRepeat = true
+	g := newRig(t, cfg, fleet(2)...)
+	for range 8 {
+		id, _ := g.ask(safeClass)
+		g.answer(id, 0, OK, 30)
+	}
+	for range 4 * strikes {
+		g.next++
+		_, sent := sentTo(g.do(Request{ID: g.next, Class: safeClass, Remaining: 10}))
+		if !sent {
+			t.Fatalf("request %d is not sent", g.next)
+		}
+		g.now += 10
+		g.answer(g.next, 0, TimedOut, 10)
+	}
+	for _, s := range g.b.servers {
+		if g.b.health(s) < 1 || g.b.resting(s) {
+			t.Errorf("server %d: m %.2f, resting: %v", s.ID, g.b.health(s), g.b.resting(s))
+		}
+	}
+}
