Call discovery in slots after a start and pace repeated calls by the fleet

At fault: Start() in state.go, which calls at once, at all sidecars together, and askAgain() in balance.go, whose pauses of 0.25 to 3.3 s are the same for 3 sidecars and for 80. Discovery serves one call in 75 ms; it does the work of those that have given up, so that it is never free again while calls come faster than that.

Ruled out: discovery being down (watches that went on were answered all the time); renewed watches taking its time (31 held watches renewed together every 4 s, without delay); the network (a call that failed at once came back within 2 ms).

The first call comes in the sidecar's slot of 60 ms by its number, a repeated one after at least as long as discovery needs for all. Small fleets call as before: 3 sidecars have slots of 60 ms, and the pauses are longer only from 9 sidecars on.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,7 @@
 	keyHomes   = 4     // servers that a key is kept at, on a large fleet where they remember keys
 	largeFleet = 20    // servers, from which on the pass is over those alone
 	askPause   = 500   // ms before a failed list call is made again; doubles each time
+	askSlot    = 60    // ms that discovery is given for the call of each sidecar: it takes them in turn
 )
 
 func (b *Balancer) onRequest(ev Request) error {
@@ -685,11 +686,30 @@
 	s.coldSince, s.tokens, s.tokensAt, s.phased = since, b.random(), b.now, false
 }
 
-// askAgain calls after a growing, jittered pause, but within the limit for sidecars not subscribed.
+// askFirst calls in this sidecar's own slot: a herd that starts at once is served in turn, where all together
+// would wait too long, most in vain, and discovery would still be busy with their calls when they call again.
+func (b *Balancer) askFirst() {
+	spread := b.askSpread()
+	if b.cfg.AskWithin > 0 {
+		spread = min(spread, b.cfg.AskWithin/2)
+	}
+	peers := max(b.cfg.Peers, 1)
+	if slot := max(b.cfg.Number, 0) % peers; slot > 0 {
+		b.emit(Action{Kind: SetTimer, Token: listTimer, At: spread * float64(slot) / float64(peers)})
+	} else {
+		b.emit(Action{Kind: Watch})
+	}
+}
+
+// askSpread is the time in which discovery can serve a call of each sidecar.
+func (b *Balancer) askSpread() float64 { return askSlot * float64(b.cfg.Peers) }
+
+// askAgain calls after a growing, jittered pause, so long at least that discovery keeps up with all sidecars;
+// but within the limit for those not subscribed, which is four times as long after a failed call.
 func (b *Balancer) askAgain() {
-	pause := askPause * float64(int(1)<<min(b.asks, 4))
+	pause := max(askPause, b.askSpread()) * float64(int(1)<<min(b.asks, 4))
 	if b.cfg.AskWithin > 0 {
-		pause = min(pause, b.cfg.AskWithin/3)
+		pause = min(pause, max(b.cfg.AskWithin/3, min(2*b.askSpread(), b.cfg.AskWithin)))
 	}
 	b.asks++
 	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.5 + b.random()/2)})
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,6 +1,9 @@
 package balance
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // vast is the settings of one of many sidecars at many servers that remember keys.
 func vast(number, peers int) Config {
@@ -123,3 +126,83 @@
 		t.Errorf("%d of 9 servers got any", len(sent))
 	}
 }
+
+// queue is discovery under load: it takes calls in turn, each for its time, and tells who waited too long that the
+// call failed, but does the work all the same.
+type queue struct {
+	each, patience float64
+	freeAt         float64
+}
+
+// call returns when the call that is made at now ends, and whether it went well.
+func (q *queue) call(now float64) (at float64, ok bool) {
+	q.freeAt = max(q.freeAt, now) + q.each
+	return min(q.freeAt, now+q.patience), q.freeAt <= now+q.patience
+}
+
+// herd starts n sidecars together that ask discovery for the list, and returns when the last of them has it and how
+// many calls were made.
+func herd(t *testing.T, n int, q *queue) (last float64, calls int) {
+	all := make([]*rig, n)
+	due := make([]float64, n)   // when the next timer or answer comes
+	calling := make([]bool, n)  // a call is out
+	answered := make([]bool, n) // ... and will go well
+	next := func(i int, now float64, acts []Action) {
+		for _, a := range acts {
+			switch {
+			case a.Kind == Watch:
+				calls++
+				calling[i] = true
+				due[i], answered[i] = q.call(now)
+			case a.Kind == SetTimer && a.Token == listTimer:
+				due[i] = now + a.At
+			}
+		}
+	}
+	const start = 1000
+	for i := range all {
+		cfg := vast(i, n)
+		cfg.Subscribe = true
+		all[i] = newRig(t, cfg, zoned(60)...)
+		next(i, start, all[i].acts)
+	}
+	for left := n; left > 0; {
+		i := 0
+		for j := range due {
+			if due[j] < due[i] {
+				i = j
+			}
+		}
+		g := all[i]
+		g.now = due[i]
+		if g.now > start+60000 {
+			t.Fatalf("%d of %d sidecars have no list after a minute and %d calls", left, n, calls)
+		}
+		switch {
+		case !calling[i]:
+			next(i, g.now, g.do(Timer{Token: listTimer}))
+		case answered[i]:
+			g.do(ServerList{Kind: ListDelta})
+			last, due[i] = g.now-start, math.Inf(1)
+			left--
+		default:
+			calling[i] = false
+			next(i, g.now, g.do(ServerList{Kind: ListFailed}))
+		}
+	}
+	return last, calls
+}
+
+// A release starts most sidecars at once, and discovery serves a dozen calls a second. They must come one after
+// another: those that wait in vain keep discovery busy, and so on with each that is made again.
+func TestAHerdGetsItsListInTurn(t *testing.T) {
+	for _, n := range []int{3, 20, 80} {
+		last, calls := herd(t, n, &queue{each: 75, patience: 2000})
+		if least := float64(n) * 75; last > least+1000 {
+			t.Errorf("%d sidecars: the last has its list after %.0f ms; in turn it takes %.0f", n, last, least)
+		}
+		if calls > n+n/5 {
+			t.Errorf("%d sidecars made %d calls", n, calls)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -254,7 +254,7 @@
 func (b *Balancer) Start(now float64) []Action {
 	b.now, b.started, b.out = now, now, b.out[:0]
 	if b.cfg.Subscribe {
-		b.emit(Action{Kind: Watch})
+		b.askFirst()
 	}
 	return b.out
 }
