Leave a lost zone as a whole once two of its servers in a row are silent

What hung counted as load: some 520 lookups were refused from 6 s to 10 s with the other servers half idle.

At fault: fault() and rest() in balance.go, which know of servers only; openLoad(), which leaves out what hangs at a rested server but not what hangs beside it; giveUpLost(), which waits for an answer from the same server to call an attempt lost.

Ruled out: the other servers being full (lookups there took 20 to 35 ms of an aim of 270 ms); discovery (it told of nothing but the restart, and knows of processes only); a shorter time until an attempt is overdue, which would take long answers for lost.

Two different servers of a zone without a sign of life, and none from the zone since, make it dark: nothing goes there, what is out there is re-routed where the class allows it, and a probe asks one server after another, ever more seldom, until one answers. After a second or more of darkness its servers count as cold, as the probe knows before the list that they are back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 )
 
 const (
@@ -28,6 +29,7 @@
 	maxRepeats = 1     // re-routes of a request: more of them multiply the load when it is too high already
 	maxCuts    = 3     // ... but not where connections were reset, which tells of no load
 	goneAfter  = 2     // connect failures in a row that tell of a server gone: one is chance
+	darkAfter  = 2     // servers of a zone in a row without a sign of life that tell of its loss: few hang
 	comeback   = 1000  // ms; ... and so does one if no answer comes for so long
 	spareAim   = 0.25  // part of the aim beyond the quickest answers that queues may take: else load is shed
 	startAim   = 0.33  // held to be the quickest until answers tell
@@ -103,7 +105,7 @@
 func (b *Balancer) openLoad() float64 {
 	load := 0.0
 	for _, s := range b.servers {
-		if s.restUntil == 0 {
+		if s.restUntil == 0 && !s.zone.dark {
 			load += s.load
 		}
 	}
@@ -193,7 +195,7 @@
 		if b.note(s, ev.Report); s.dark {
 			s.pardon()
 		}
-		s.heardAt = b.now
+		b.hear(s)
 	case ev.Result == Reset || ev.Result == Moot: // a connection broke, or there was none: another may do
 	case b.within(s, sent): // this probe was lost
 		if s.probedAt > sent+1 { // a later one is out
@@ -523,7 +525,65 @@
 }
 
 // resting: it left several attempts unanswered, or is out of reach; the next strike rests it for longer.
-func (b *Balancer) resting(s *server) bool { return b.now < s.restUntil }
+func (b *Balancer) resting(s *server) bool { return b.now < s.restUntil || s.zone.dark }
+
+// silence notes that a server gave no sign of life to what was sent then. One may hang, but several of a zone
+// in a row tell that all of it is lost: found out server by server, each sidecar loses requests at every one.
+func (b *Balancer) silence(s *server, sent float64) {
+	z := s.zone
+	if z.dark || sent < z.heardAt || !b.cfg.Probes || slices.Contains(z.silent, s) {
+		return
+	}
+	z.silent = append(z.silent, s)
+	if len(z.silent) >= darkAfter {
+		z.dark, z.darkSince, z.trials = true, b.now, 0
+		b.tryZone(z)
+	}
+}
+
+// tryZone probes a server of a dark zone, and another one after a growing, jittered pause, until one answers:
+// a probe costs far less than a lost request.
+func (b *Balancer) tryZone(z *zone) {
+	var chosen *server
+	ready, free := 0, 0.0
+	for _, s := range b.servers {
+		if s.zone != z || s.State != Ready {
+			continue
+		}
+		if ready++; !s.probing && !slices.Contains(z.silent, s) {
+			if free++; b.random() < 1/free {
+				chosen = s
+			}
+		}
+	}
+	if z.silent = z.silent[:0]; ready == 0 {
+		z.dark = false
+		return
+	}
+	if chosen != nil {
+		chosen.probing, chosen.probedAt = true, b.now
+		b.emit(Action{Kind: Probe, Server: chosen.ID})
+	}
+	pause := b.longestAim * float64(int(1)<<min(z.trials, 2)) * (0.5 + b.random()/2)
+	z.trials++
+	z.trialAt = b.now + pause
+	b.emit(Action{Kind: SetTimer, Token: zoneTimer + uint64(z.number), At: pause})
+}
+
+// hear notes a sign of life. A zone that was dark for long may have started again, before the list tells.
+func (b *Balancer) hear(s *server) {
+	z := s.zone
+	s.heardAt, z.heardAt, z.silent = b.now, b.now, z.silent[:0]
+	if !z.dark {
+		return
+	}
+	z.dark = false
+	for _, s := range b.servers {
+		if s.zone == z && !b.cold(s) && b.now >= z.darkSince+comeback {
+			b.chill(s, b.now)
+		}
+	}
+}
 
 // markOverdue counts an attempt far beyond its class's answers as an error: else hangs show late.
 func (b *Balancer) markOverdue(r *request) {
@@ -532,6 +592,7 @@
 			a.overdue = true
 			b.lose(r, a, 1)
 			b.fault(a.s, false)
+			b.silence(a.s, a.sent)
 			if a.passedOver() {
 				b.conclude(r, a.s, TimedOut)
 			}
@@ -539,12 +600,13 @@
 	}
 }
 
-// giveUpLost ends an attempt that its server passed over, while another could still answer in time: the
-// request is re-routed as after a failure. Merely slow ones wait on: more load would make more of them.
+// giveUpLost ends an attempt that its server passed over, or that is out in a lost zone, while another could
+// still answer in time: the request is re-routed as after a failure. Slow ones wait on: more load would
+// only slow them further.
 func (b *Balancer) giveUpLost(r *request) {
 	for i := range r.tries {
 		a := &r.tries[i]
-		if a.live && a.overdue && !a.lost && a.passedOver() && b.canFollow(r) {
+		if a.live && a.overdue && !a.lost && (a.passedOver() || a.s.zone.dark) && b.canFollow(r) {
 			a.lost = true
 			b.emit(Action{Kind: Cancel, Request: r.ID, Attempt: i})
 		}
@@ -603,7 +665,8 @@
 	}
 	switch ev.Result {
 	case OK:
-		s.newest, s.heardAt = max(s.newest, a.sent), b.now
+		s.newest = max(s.newest, a.sent)
+		b.hear(s)
 		gone := s.downs >= goneAfter || s.downs > 0 && b.now > s.lastErr+comeback
 		if gone && !b.cold(s) { // and is back: a restart that the list has yet to tell
 			b.chill(s, b.now)
@@ -627,6 +690,11 @@
 		if down := ev.Result == ConnectFailed; down || !a.overdue {
 			b.fault(s, down)
 		}
+		if ev.Result == ConnectFailed {
+			b.silence(s, a.sent)
+		} else if ev.Result == Failed || ev.Result == Full {
+			b.hear(s)
+		}
 	}
 }
 
@@ -678,7 +746,7 @@
 		b.chill(s, entry.StartedAt)
 	}
 	s.Server = *entry
-	s.kind, s.zone = b.group(b.kinds, s.Kind), b.group(b.zones, s.Zone)
+	s.kind, s.zone = b.kindOf(s.Kind), b.zoneOf(s.Zone)
 }
 
 // chill begins a warm-up. The first budget is random, so that the first sends of all sidecars do not meet.
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -206,3 +206,173 @@
 		}
 	}
 }
+
+// drive runs one sidecar: servers for which silent holds take what they are sent and say nothing, the others answer
+// after 5 ms.
+type drive struct {
+	*rig
+	silent func(ServerID) bool
+	sent   map[ServerID]int
+	probes int
+	served int
+	due    []dueEvent
+}
+
+type dueEvent struct {
+	at    float64
+	event Event
+}
+
+func newDrive(t *testing.T, number, peers int, servers []Server) *drive {
+	cfg := vast(number, peers)
+	cfg.Probes, cfg.Reports, cfg.Fields, cfg.Parallel = true, ReportProbe, []Field{FieldInFlight}, false
+	cfg.Prices = Prices{Handshake: 0.12, Probe: 0.08}
+	cfg.ConnIdle, cfg.Classes[safeClass].Deadline = 8000, 1200
+	d := &drive{rig: newRig(t, cfg, servers...), sent: map[ServerID]int{}, silent: func(ServerID) bool { return false }}
+	d.randomStart()
+	return d
+}
+
+// handle brings an event and sees to what is to be done.
+func (d *drive) handle(ev Event) {
+	d.t.Helper()
+	if out, ok := ev.(Outcome); ok {
+		r := d.b.reqs[out.Request]
+		if r == nil || !r.tries[out.Attempt].live { // cancelled meanwhile
+			return
+		}
+		out.Finished = out.Result == OK || r.done
+		if ev = out; out.Result == OK {
+			d.served++
+		}
+	}
+	for _, a := range d.do(ev) {
+		switch a.Kind {
+		case Send:
+			d.sent[a.Server]++
+			at := len(d.b.reqs[a.Request].tries) - 1
+			out, after := Outcome{Request: a.Request, Attempt: at, Server: a.Server, Took: 5}, 5.
+			if d.silent(a.Server) {
+				out.Result, out.Took = TimedOut, 1200
+				after = d.b.reqs[a.Request].deadline - d.now
+			}
+			d.due = append(d.due, dueEvent{d.now + after, out})
+		case Cancel:
+			s := d.b.reqs[a.Request].tries[a.Attempt].s.ID
+			d.due = append(d.due, dueEvent{d.now, Outcome{Request: a.Request, Attempt: a.Attempt, Server: s, Result: Cancelled}})
+		case SetTimer:
+			d.due = append(d.due, dueEvent{d.now + a.At, Timer{Token: a.Token}})
+		case Probe:
+			d.probes++
+			res, after := ProbeResult{Server: a.Server, Took: 1, Report: []float32{0}}, 1.
+			if d.silent(a.Server) {
+				res, after = ProbeResult{Server: a.Server, Result: TimedOut, Took: 350}, 350
+			}
+			d.due = append(d.due, dueEvent{d.now + after, res})
+		}
+	}
+}
+
+// run brings a request of some key every so often until then.
+func (d *drive) run(until, every float64) {
+	d.t.Helper()
+	for next := d.now; ; {
+		first := -1
+		for i := range d.due {
+			if d.due[i].at <= next && (first < 0 || d.due[i].at < d.due[first].at) {
+				first = i
+			}
+		}
+		if first >= 0 {
+			ev := d.due[first]
+			d.due = append(d.due[:first], d.due[first+1:]...)
+			d.now = max(d.now, ev.at)
+			d.handle(ev.event)
+			continue
+		}
+		if next >= until {
+			d.now = until
+			return
+		}
+		d.now = next
+		d.next++
+		d.handle(Request{ID: d.next, Class: safeClass, Key: uint64(d.next%200 + 1), Remaining: 1200})
+		next += every
+	}
+}
+
+// toZone sums what was sent to the servers of a zone.
+func (d *drive) toZone(servers []Server, zone int) (n int) {
+	for _, s := range servers {
+		if s.Zone == zone {
+			n += d.sent[s.ID]
+		}
+	}
+	return n
+}
+
+// A zone falls silent. Sidecars that find out server by server lose a request or more at each of its servers, each of
+// them; two servers in a row have to be enough, and a probe now and then tells when the zone is back.
+func TestALostZoneIsLeftAsAWhole(t *testing.T) {
+	servers := zoned(60)
+	const peers = 20
+	lost, probes := 0, 0
+	for i := range peers {
+		d := newDrive(t, i, peers, servers)
+		d.run(d.now+4000, 50)
+		before, asked, served := d.toZone(servers, 1), d.next, d.served
+		d.silent = func(id ServerID) bool { return d.b.byID[id].Zone == 1 }
+		d.run(d.now+5000, 50)
+		lost += d.toZone(servers, 1) - before
+		probes += d.probes
+		if got, of := d.served-served, int(d.next-asked); got < of-10 {
+			t.Errorf("sidecar %d served %d of %d while one zone of three was lost", i, got, of)
+		}
+	}
+	if lost > 8*peers {
+		t.Errorf("%d sidecars sent %d requests to the lost zone", peers, lost)
+	}
+	if probes > 10*peers {
+		t.Errorf("%d sidecars sent %d probes to it", peers, probes)
+	}
+}
+
+// A lost zone comes back cold, which a probe tells long before the list: sidecars that find it must hold back.
+func TestAZoneThatComesBackIsHeldToBeCold(t *testing.T) {
+	servers := zoned(60)
+	const peers = 20
+	before, after := 0, 0
+	for i := range peers {
+		d := newDrive(t, i, peers, servers)
+		d.run(d.now+4000, 50)
+		start := d.toZone(servers, 1)
+		d.run(d.now+3000, 50)
+		before += d.toZone(servers, 1) - start
+		d.silent = func(id ServerID) bool { return d.b.byID[id].Zone == 1 }
+		d.run(d.now+5000, 50)
+		d.silent = func(ServerID) bool { return false }
+		start = d.toZone(servers, 1)
+		d.run(d.now+3000, 50)
+		after += d.toZone(servers, 1) - start
+		d.run(d.now+10000, 50)
+		if d.toZone(servers, 1)-start < 10 {
+			t.Errorf("sidecar %d sent %d requests in 13 s to the zone that is back", i, d.toZone(servers, 1)-start)
+		}
+	}
+	if after > before/3 {
+		t.Errorf("the zone got %d requests in its first 3 s, %d before it was lost", after, before)
+	}
+}
+
+// One server that hangs says nothing of its zone, whose others answer.
+func TestAHungServerLeavesItsZoneInUse(t *testing.T) {
+	servers := zoned(60)
+	d := newDrive(t, 0, 20, servers)
+	d.run(d.now+4000, 50)
+	d.silent = func(id ServerID) bool { return id == servers[1].ID }
+	before := d.toZone(servers, 1)
+	d.run(d.now+6000, 50)
+	if n := d.toZone(servers, 1) - before; n < 30 {
+		t.Errorf("the zone got %d of 120 requests", n)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -8,8 +8,11 @@
 	"sort"
 )
 
-// listTimer is the token of the discovery timer; requests use their ID (below 2^52).
-const listTimer = 1 << 60
+// Tokens of timers; requests use their ID (below 2^52).
+const (
+	listTimer = 1 << 60 // of discovery
+	zoneTimer = 1 << 61 // ... and of a dark zone, with its number added
+)
 
 // Balancer is one sidecar's decision maker. It is not safe for concurrent use.
 type Balancer struct {
@@ -25,10 +28,10 @@
 	level   float64       // running value of the last winner
 	pool    float64       // sum of shares at the last first pick
 	kinds   map[int]*size // learned size by kind
-	zones   map[int]*size // ... and by zone
-	learned float64       // times learn was called
-	drift   float64       // mean step of learn
-	asks    int           // failed list calls in a row
+	zones   map[int]*zone
+	learned float64 // times learn was called
+	drift   float64 // mean step of learn
+	asks    int     // failed list calls in a row
 
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
@@ -61,7 +64,7 @@
 	home     float64 // in the current pick: its place among the homes of the key; the largest are
 	size     size    // learned, beyond its kind's and zone's
 	kind     *size
-	zone     *size
+	zone     *zone
 	inFlight int     // own attempts
 	load     float64 // ... each as one over its aim
 
@@ -97,12 +100,32 @@
 	z.factor = math.Exp(z.log)
 }
 
-// group returns the size of a kind or zone, which may be new.
-func (b *Balancer) group(all map[int]*size, key int) *size {
-	if all[key] == nil {
-		all[key] = &size{factor: 1}
+// zone is what this sidecar knows of all servers of a zone together.
+type zone struct {
+	size
+	number    int
+	heardAt   float64   // when any of them answered last
+	silent    []*server // that did not, though asked since
+	dark      bool      // held to be lost as a whole
+	darkSince float64
+	trials    int     // probes since
+	trialAt   float64 // when the next is due
+}
+
+// kindOf returns the size of a kind, which may be new.
+func (b *Balancer) kindOf(number int) *size {
+	if b.kinds[number] == nil {
+		b.kinds[number] = &size{factor: 1}
 	}
-	return all[key]
+	return b.kinds[number]
+}
+
+// zoneOf returns a zone, which may be new.
+func (b *Balancer) zoneOf(number int) *zone {
+	if b.zones[number] == nil {
+		b.zones[number] = &zone{size: size{factor: 1}, number: number}
+	}
+	return b.zones[number]
 }
 
 // verdict is how one class fared at one server lately: 1 served, 0 failed, averaged.
@@ -230,7 +253,7 @@
 	b := &Balancer{
 		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
-		kinds: map[int]*size{}, zones: map[int]*size{}, longestAim: 1, quickest: startAim, slowness: startAim, busy: 1, level: 1,
+		kinds: map[int]*size{}, zones: map[int]*zone{}, longestAim: 1, quickest: startAim, slowness: startAim, busy: 1, level: 1,
 	}
 	for i := range cfg.Classes {
 		b.longestAim = max(b.longestAim, cfg.Classes[i].Aim)
@@ -342,6 +365,10 @@
 func (b *Balancer) onTimer(ev Timer) {
 	if ev.Token == listTimer {
 		b.emit(Action{Kind: Watch})
+	} else if ev.Token >= zoneTimer {
+		if z := b.zoneOf(int(ev.Token - zoneTimer)); z.dark && b.now > z.trialAt-1 {
+			b.tryZone(z)
+		}
 	} else if r := b.reqs[RequestID(ev.Token)]; r != nil {
 		r.wakeAt = math.Inf(1) // not compared with the clock: a timer may come a rounding error early
 		b.step(r)
