Pass over a home of a key that answered slowly, for the key's next one

Some keys are asked for far more than others, and keys stay.

At fault: keepHome() in balance.go, which leaves a key at four homes however full they are. What one sidecar has in flight, the only bound there, is one or two requests; learned sizes move by a thirtieth at each answer, and a server with an open connection has 481 times the weight of others.

Ruled out: servers that hang or fail (rested, or shunned by class, 6 of the 34); the other zones' links (quick servers in both).

A server whose last answer took longer than load may make answers take goes behind all others in the order of homes, for one and a half of the longest aims.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,8 @@
 	scarce     = 50    // ... and times the part of recent attempts that got no connection: tables are full
 	holdOff    = 0.1   // part of the aim for which a refused client is asked to stay away
 	keyHomes   = 4     // servers that a key is kept at, on a large fleet where they remember keys
+	lastHome   = 1e-6  // puts a server that is slow after all others of them
+	slowFor    = 1.5   // longest aims for which it counts as slow after one slow answer
 	largeFleet = 20    // servers, from which on the pass is over those alone
 	askPause   = 500   // ms before a failed list call is made again; doubles each time
 	askSlot    = 60    // ms that discovery is given for the call of each sidecar: it takes them in turn
@@ -76,7 +78,7 @@
 // rate of answers tell how long answers take (Little's law). Answers assumed beside, most of what a trickle
 // sidecar has, take as long as recent ones: by the one or two in flight alone it shed nothing or all.
 func (b *Balancer) admit(r *request) bool {
-	full := b.quickest + spareAim*(1-b.quickest)
+	full := b.full()
 	fade := math.Exp((b.answeredAt - b.now) / max(paceAims*b.longestAim, halfLife)) // a jam is forgotten
 	slow := b.quickest + (b.slowness-b.quickest)*fade
 	crowd := slow
@@ -94,6 +96,9 @@
 	return !tooLate && (shed == 0 || b.random() >= b.shedPart(r, shed))
 }
 
+// full is the part of the aim that answers may take before load is shed.
+func (b *Balancer) full() float64 { return b.quickest + spareAim*(1-b.quickest) }
+
 // late: a client's later try whose aim has passed already; the time left is less than that of first tries.
 func (b *Balancer) late(r *request) bool {
 	r.stats.longest = max(r.stats.longest, r.Remaining)
@@ -357,7 +362,8 @@
 
 // keepHome leaves a first send only the homes of its key in the pass, where servers do less work for a key
 // that they met lately: in turn over a whole large fleet, each forgets it before it comes again. All sidecars
-// agree on the homes by rendezvous hashing, and a server that is lost moves its own keys alone.
+// agree on the homes by rendezvous hashing, and a server that is lost moves its own keys alone. So does one
+// that answers slowly, for a while: some keys are asked for far more than others, and crowd their homes.
 func (b *Balancer) keepHome(r *request) {
 	if !b.cfg.WarmKeys || r.Key == 0 || len(b.servers) < largeFleet {
 		return
@@ -366,6 +372,9 @@
 	for _, s := range b.servers {
 		if s.home = 0; s.weight > 0 && (!b.cold(s) || b.coldBudget(s)) {
 			s.home = rendezvous(r.Key, s.ID, s.rating()*b.warmth(s))
+			if b.now < s.slowUntil {
+				s.home *= lastHome
+			}
 		}
 		for i, v := 0, s.home; i < keyHomes; i++ {
 			homes[i], v = max(homes[i], v), min(homes[i], v)
@@ -674,6 +683,9 @@
 		s.pardon()
 		b.pace(1, 0)
 		b.time(a, ev.Took, r.class.Aim)
+		if s.slowUntil = 0; ev.Took > b.full()*r.class.Aim {
+			s.slowUntil = b.now + slowFor*b.longestAim
+		}
 		if r.stats.n > 0 {
 			b.learn(s, ev.Took/r.stats.mean)
 		}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -208,10 +208,11 @@
 }
 
 // drive runs one sidecar: servers for which silent holds take what they are sent and say nothing, the others answer
-// after 5 ms.
+// after the time that took says.
 type drive struct {
 	*rig
 	silent func(ServerID) bool
+	took   func(ServerID) float64
 	sent   map[ServerID]int
 	probes int
 	served int
@@ -228,7 +229,9 @@
 	cfg.Probes, cfg.Reports, cfg.Fields, cfg.Parallel = true, ReportProbe, []Field{FieldInFlight}, false
 	cfg.Prices = Prices{Handshake: 0.12, Probe: 0.08}
 	cfg.ConnIdle, cfg.Classes[safeClass].Deadline = 8000, 1200
-	d := &drive{rig: newRig(t, cfg, servers...), sent: map[ServerID]int{}, silent: func(ServerID) bool { return false }}
+	d := &drive{rig: newRig(t, cfg, servers...), sent: map[ServerID]int{}}
+	d.silent = func(ServerID) bool { return false }
+	d.took = func(ServerID) float64 { return 5 }
 	d.randomStart()
 	return d
 }
@@ -251,7 +254,8 @@
 		case Send:
 			d.sent[a.Server]++
 			at := len(d.b.reqs[a.Request].tries) - 1
-			out, after := Outcome{Request: a.Request, Attempt: at, Server: a.Server, Took: 5}, 5.
+			after := d.took(a.Server)
+			out := Outcome{Request: a.Request, Attempt: at, Server: a.Server, Took: after}
 			if d.silent(a.Server) {
 				out.Result, out.Took = TimedOut, 1200
 				after = d.b.reqs[a.Request].deadline - d.now
@@ -376,3 +380,37 @@
 		t.Errorf("the zone got %d of 120 requests", n)
 	}
 }
+
+// A key that is asked for a lot crowds its homes, which only their slow answers tell. Sidecars must pass such a home
+// over for the key's next one, each for a while, and come back when it answers quickly again.
+func TestACrowdedHomeIsPassedOver(t *testing.T) {
+	servers := zoned(60)
+	const peers = 20
+	before, crowded, after := 0, 0, 0
+	for i := range peers {
+		d := newDrive(t, i, peers, servers)
+		busy := servers[7].ID
+		sent := func(span float64) int {
+			start := d.sent[busy]
+			d.run(d.now+span, 10)
+			return d.sent[busy] - start
+		}
+		before += sent(10000)
+		d.took = func(id ServerID) float64 {
+			if id == busy {
+				return 250
+			}
+			return 5
+		}
+		crowded += sent(10000)
+		d.took = func(ServerID) float64 { return 5 }
+		sent(2000)
+		after += sent(10000)
+	}
+	if crowded > before/2 {
+		t.Errorf("the crowded server got %d requests, %d before", crowded, before)
+	}
+	if after < before/3 {
+		t.Errorf("the server got %d requests when it was quick again, %d before", after, before)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -74,8 +74,9 @@
 	lastErr   float64
 	restUntil float64 // 0: not rested
 	rests     int
-	dark      bool // the last probe got no answer
-	downs     int  // attempts in a row that could not connect
+	dark      bool    // the last probe got no answer
+	downs     int     // attempts in a row that could not connect
+	slowUntil float64 // its last answer took too long: it holds too much
 
 	verdicts []verdict // by class
 
