Choose a key's homes alike among cold and warm servers

At fault: keepHome() in balance.go weighed the choice of homes by warmth, and the rotation weighs by it again within them: a server at half its capacity got a quarter. The homes also moved on as a server warmed up, away from where keys were known.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -371,7 +371,7 @@
 	var homes [keyHomes]float64 // the largest values, descending
 	for _, s := range b.servers {
 		if s.home = 0; s.weight > 0 && (!b.cold(s) || b.coldBudget(s)) {
-			s.home = rendezvous(r.Key, s.ID, s.rating()*b.warmth(s))
+			s.home = rendezvous(r.Key, s.ID, s.rating())
 			if b.now < s.slowUntil {
 				s.home *= lastHome
 			}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -9,6 +9,7 @@
 func vast(number, peers int) Config {
 	cfg := baseConfig()
 	cfg.Seed, cfg.Number, cfg.Peers, cfg.WarmKeys = uint64(1000+number), number, peers, true
+	cfg.FallMultiple = 4
 	return cfg
 }
 
@@ -414,3 +415,35 @@
 		t.Errorf("the server got %d requests when it was quick again, %d before", after, before)
 	}
 }
+
+// Most servers are replaced at once. What a cold one gets must be in proportion to what it can do: its weight sees to
+// that within a key's homes, so that it must not be home to fewer keys as well.
+func TestColdServersAreHomesLikeOthers(t *testing.T) {
+	servers := zoned(60)
+	const peers = 20
+	cold, all := 0, 0
+	for i := range peers {
+		d := newDrive(t, i, peers, servers)
+		d.run(d.now+2000, 20)
+		fresh := make([]Server, 36)
+		for j := range fresh {
+			fresh[j] = servers[j]
+			fresh[j].StartedAt = d.now
+		}
+		d.handle(ServerList{Kind: ListDelta, Servers: fresh})
+		d.run(d.now+5000, 20) // warm to two fifths
+		clear(d.sent)
+		d.run(d.now+5000, 20)
+		for _, s := range servers {
+			all += d.sent[s.ID]
+		}
+		for _, s := range fresh {
+			cold += d.sent[s.ID]
+		}
+	}
+	warm := 24.0
+	able := 36 * 0.5 // of a warm one, on the mean of those 5 s
+	if got, part := float64(cold)/float64(all), able/(able+warm); got < part*0.8 || got > part*1.3 {
+		t.Errorf("cold servers got %.2f of the requests: they can do %.2f", got, part)
+	}
+}
