Log when a zone goes dark for more than one probe and when it answers again

An operator could not tell from a sidecar's log that it had left a zone. One line comes when the second probe goes out, as a single one may be lost, and one with the time when the zone answers; nothing in between.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -569,6 +569,10 @@
 		z.dark = false
 		return
 	}
+	if z.trials == 1 { // the first probe may have been lost; what follows would flood the log
+		text := fmt.Sprintf("zone %d is silent and left until a probe is answered", z.number)
+		b.emit(Action{Kind: Log, Text: text})
+	}
 	if chosen != nil {
 		chosen.probing, chosen.probedAt = true, b.now
 		b.emit(Action{Kind: Probe, Server: chosen.ID})
@@ -587,6 +591,10 @@
 		return
 	}
 	z.dark = false
+	if z.trials > 1 {
+		text := fmt.Sprintf("zone %d answers after %.0f ms", z.number, b.now-z.darkSince)
+		b.emit(Action{Kind: Log, Text: text})
+	}
 	for _, s := range b.servers {
 		if s.zone == z && !b.cold(s) && b.now >= z.darkSince+comeback {
 			b.chill(s, b.now)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -216,6 +216,7 @@
 	took   func(ServerID) float64
 	sent   map[ServerID]int
 	probes int
+	logs   int
 	served int
 	due    []dueEvent
 }
@@ -267,6 +268,8 @@
 			d.due = append(d.due, dueEvent{d.now, Outcome{Request: a.Request, Attempt: a.Attempt, Server: s, Result: Cancelled}})
 		case SetTimer:
 			d.due = append(d.due, dueEvent{d.now + a.At, Timer{Token: a.Token}})
+		case Log:
+			d.logs++
 		case Probe:
 			d.probes++
 			res, after := ProbeResult{Server: a.Server, Took: 1, Report: []float32{0}}, 1.
@@ -356,9 +359,15 @@
 		d.silent = func(id ServerID) bool { return d.b.byID[id].Zone == 1 }
 		d.run(d.now+5000, 50)
 		d.silent = func(ServerID) bool { return false }
+		if d.logs != 1 {
+			t.Errorf("sidecar %d logged %d lines in 5 s of darkness: want one", i, d.logs)
+		}
 		start = d.toZone(servers, 1)
 		d.run(d.now+3000, 50)
 		after += d.toZone(servers, 1) - start
+		if d.logs != 2 {
+			t.Errorf("sidecar %d logged %d lines until the zone was back: want two", i, d.logs)
+		}
 		d.run(d.now+10000, 50)
 		if d.toZone(servers, 1)-start < 10 {
 			t.Errorf("sidecar %d sent %d requests in 13 s to the zone that is back", i, d.toZone(servers, 1)-start)
