Answer at a second address: readiness, and figures counted where a request ends

Handlers read atomic counters; what only the loop knows it publishes five times a second, and the module tells how many servers it avoids. Rejected: asking the loop for figures at each scrape. A busy loop would hold up the answer, and scrapes the loop. Rejected: a second path at the clients' address. Its connections are the ones that a crowd fills.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -536,6 +536,17 @@
 // resting: it left several attempts unanswered, or is out of reach; the next strike rests it for longer.
 func (b *Balancer) resting(s *server) bool { return b.now < s.restUntil || s.zone.dark }
 
+// Avoided counts the listed servers that get nothing new now, unless all of them are avoided.
+func (b *Balancer) Avoided(now float64) int {
+	n := 0
+	for _, s := range b.servers {
+		if s.State != Ready || now < s.restUntil || s.zone.dark {
+			n++
+		}
+	}
+	return n
+}
+
 // silence notes that a server gave no sign of life to what was sent then. One may hang, but several of a zone
 // in a row tell that all of it is lost: found out server by server, each sidecar loses requests at every one.
 func (b *Balancer) silence(s *server, sent float64) {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -22,16 +22,18 @@
 type Config struct {
 	Name      string
 	Listen    string
+	Mgmt      string // the second address; empty: none
 	Discovery string
 	Limits    Limits
 	Known     list // the servers as last listed; it may be old
 
-	Balance balance.Config
-	classes map[string]int
-	tenants map[string]int
-	zones   map[string]int
-	kinds   map[string]int
-	fields  []string // the figures of a load report, in the module's order
+	Balance    balance.Config
+	classes    map[string]int
+	classNames []string // in the order of Balance.Classes
+	tenants    map[string]int
+	zones      map[string]int
+	kinds      map[string]int
+	fields     []string // the figures of a load report, in the module's order
 
 	reread    func() (*Config, error) // reads the file again, which then goes before the environment
 	restTime  time.Duration           // how long a connection to a server rests between two requests
@@ -96,6 +98,7 @@
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Mgmt      string          `json:"mgmt"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -108,6 +111,7 @@
 	cfg := &Config{
 		Name:      cmp.Or(getenv("NODE_NAME"), file.Name),
 		Listen:    cmp.Or(getenv("NODE_LISTEN"), file.Listen),
+		Mgmt:      cmp.Or(getenv("NODE_MGMT"), file.Mgmt),
 		Discovery: cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
 		Limits:    file.Limits,
 		Known:     file.Known,
@@ -131,6 +135,11 @@
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return fmt.Errorf("listen address %q: %w", c.Listen, err)
 	}
+	if c.Mgmt != "" {
+		if _, err := netip.ParseAddrPort(c.Mgmt); err != nil {
+			return fmt.Errorf("second address %q: %w", c.Mgmt, err)
+		}
+	}
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return fmt.Errorf("discovery address %q: %w", c.Discovery, err)
 	}
@@ -163,7 +172,8 @@
 	if err := json.Unmarshal(settings, &s); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	c.classes, c.tenants = positions(names(s.Classes)), positions(names(s.Tenants))
+	c.classNames = names(s.Classes)
+	c.classes, c.tenants = positions(c.classNames), positions(names(s.Tenants))
 	c.zones, c.kinds, c.fields = positions(s.Zones), positions(s.Kinds), s.Report.Fields
 	if len(c.classes) != len(s.Classes) || len(c.tenants) != len(s.Tenants) {
 		return fmt.Errorf("settings: two classes or tenants of one name")
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -41,6 +41,7 @@
 	message  *message
 	received time.Time
 	answers  chan *answer // takes the one final answer
+	lane     *lane        // counts it
 }
 
 // answer is a final answer.
@@ -57,6 +58,7 @@
 	post    func(any)
 	done    <-chan struct{} // closed when nothing answers any more
 	clients *clients
+	figures *figures
 	ready   atomic.Bool // there are servers to send to
 	ending  atomic.Bool // the sidecar shuts down
 }
@@ -95,8 +97,11 @@
 	}
 }
 
+// isReady: there are servers to send to, and this is not the end.
+func (f *front) isReady() bool { return f.ready.Load() && !f.ending.Load() }
+
 func (f *front) up(w http.ResponseWriter) {
-	if !f.ready.Load() || f.ending.Load() {
+	if !f.isReady() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -207,6 +212,7 @@
 	if !(hint > 0) || math.IsInf(hint, 0) {
 		hint = 0
 	}
+	c.lane = f.figures.lane(r.Header.Get("X-Qos"))
 	c.request = balance.Request{
 		Class: class, Tenant: tenant, WorkHint: hint / 1000, Key: parseKey(r.Header.Get("X-Object")),
 		Remaining: left, Repeat: r.Header.Get("X-Second-Try") == "1",
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -90,6 +90,7 @@
 	end    context.CancelFunc // as SIGTERM does
 	ended  chan error
 	client *http.Client
+	second string // its second address, if any
 
 	reloads chan os.Signal // SIGHUP
 }
@@ -104,7 +105,10 @@
 	n.addr = ln.Addr().String()
 	ctx, end := context.WithCancel(context.Background())
 	n.end = end
-	go func() { n.ended <- serve(ctx, cfg, ln, n.reloads, slog.New(slog.DiscardHandler)) }()
+	second := n.mgmt(cfg)
+	go func() {
+		n.ended <- serve(ctx, cfg, listeners{clients: ln, mgmt: second}, n.reloads, slog.New(slog.DiscardHandler))
+	}()
 	t.Cleanup(func() {
 		n.client.CloseIdleConnections()
 		end()
@@ -120,6 +124,16 @@
 	return n
 }
 
+// mgmt listens at the second address, where the configuration names one.
+func (n *node) mgmt(cfg *Config) net.Listener {
+	if cfg.Mgmt == "" {
+		return nil
+	}
+	ln := listen(n.t)
+	n.second = ln.Addr().String()
+	return ln
+}
+
 var traces atomic.Int64
 
 // request makes a request of a class, with the headers that it wants.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -48,6 +48,7 @@
 	upstream  *upstream
 	discovery *discovery
 	front     *front
+	figures   *figures
 
 	started time.Time // the clock's origin: the module is told Unix milliseconds, counted on by the monotonic clock
 	epoch   float64
@@ -77,12 +78,16 @@
 
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) *loop {
 	start := time.Now()
-	return &loop{
+	l := &loop{
 		bal: balance.New(cfg.Balance), cfg: cfg, log: log, inbox: make(chan any, 1024),
 		started: start, epoch: float64(start.UnixMicro()) / 1000,
 		requests: map[balance.RequestID]*request{}, byCall: map[*call]*request{}, byTrace: map[string]*request{},
-		endpoints: map[string]*endpoint{}, byID: map[balance.ServerID]*endpoint{}, ctx: ctx,
+		figures: &figures{}, endpoints: map[string]*endpoint{}, byID: map[balance.ServerID]*endpoint{}, ctx: ctx,
 	}
+	for _, class := range cfg.classNames {
+		l.figures.lane(class)
+	}
+	return l
 }
 
 // post hands an event to the loop; after its end it does nothing.
@@ -108,6 +113,13 @@
 	l.now = l.clock(time.Now())
 	l.do(l.bal.Start(l.now))
 	l.take(listed{&l.cfg.Known}, balance.ListCached)
+	var gauges <-chan time.Time
+	if l.cfg.Mgmt != "" {
+		ticker := time.NewTicker(time.Second / gaugesEvery)
+		defer ticker.Stop()
+		gauges = ticker.C
+		l.publish()
+	}
 	for {
 		l.settle()
 		l.fire()
@@ -124,6 +136,9 @@
 			l.drain()
 		case <-timer.C:
 			l.now = l.clock(time.Now())
+		case <-gauges:
+			l.now = l.clock(time.Now())
+			l.publish()
 		case <-l.ctx.Done():
 			l.running.Wait()
 			return
@@ -131,6 +146,12 @@
 	}
 }
 
+// publish tells the second address what only the loop knows.
+func (l *loop) publish() {
+	l.figures.members.Store(int64(len(l.endpoints)))
+	l.figures.avoided.Store(int64(l.bal.Avoided(l.now)))
+}
+
 func (l *loop) drain() {
 	for n := len(l.inbox); n > 0; n-- {
 		l.settle()
@@ -256,6 +277,7 @@
 func (l *loop) begin(c *call) {
 	l.lastID++
 	r := &request{id: l.lastID, call: c}
+	l.figures.pending.Add(1)
 	if l.byTrace[c.trace] != nil {
 		// Servers and clients know a request by its id: under one of an open request it would get that one's
 		// answer, or give it its own.
@@ -280,11 +302,13 @@
 		return
 	}
 	r.done = true
+	l.figures.pending.Add(-1)
 	delete(l.byCall, r.call)
 	for _, at := range r.attempts {
 		at.answered.Store(true)
 	}
 	if a != nil {
+		r.call.lane.count(a.status)
 		r.call.answers <- a
 	}
 	l.forget(r)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,13 +36,31 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, cfg, ln, reloads, log)
+	second, err := listenMgmt(cfg)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, cfg, listeners{ln, second}, reloads, log)
+}
+
+// listeners are the addresses of a sidecar: for its clients and, where one is named, the second one.
+type listeners struct{ clients, mgmt net.Listener }
+
+func listenMgmt(cfg *Config) (net.Listener, error) {
+	if cfg.Mgmt == "" {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", cfg.Mgmt)
+	if err != nil {
+		return nil, fmt.Errorf("second address: %w", err)
+	}
+	return ln, nil
 }
 
 func serve(
-	ctx context.Context, cfg *Config, ln net.Listener, reloads <-chan os.Signal, log *slog.Logger,
+	ctx context.Context, cfg *Config, at listeners, reloads <-chan os.Signal, log *slog.Logger,
 ) error {
-	log.Info("listening", "address", ln.Addr().String())
+	log.Info("listening", "address", at.clients.Addr().String())
 	inner, stop := context.WithCancel(context.Background())
 	idle := millis(cfg.Balance.ConnIdle * idleShare)
 	if idle > 0 {
@@ -50,28 +68,36 @@
 	}
 	l := newLoop(inner, cfg, log)
 	dialTime := cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second)
-	pool := newPool(dialTime, cmp.Or(idle, time.Minute), cfg.restTime, cfg.Limits.Sockets)
+	sockets := cfg.Limits.Sockets
+	if at.mgmt != nil {
+		sockets -= mgmtCallers
+	}
+	pool := newPool(dialTime, cmp.Or(idle, time.Minute), cfg.restTime, sockets)
 	probe := "/alive"
 	if cfg.Balance.Reports != balance.ReportNone {
 		probe = "/metrics/load"
 	}
-	l.upstream = &upstream{pool: pool, fields: cfg.fields, probe: probe}
+	l.upstream = &upstream{pool: pool, fields: cfg.fields, probe: probe, figures: l.figures}
 	l.discovery = newDiscovery(cfg, l.post)
-	clients := &clients{most: cfg.Limits.Sockets - spareSockets - pool.most}
-	l.front = &front{cfg: cfg, post: l.post, done: inner.Done(), clients: clients}
+	clients := &clients{most: sockets - spareSockets - pool.most}
+	l.front = &front{cfg: cfg, post: l.post, done: inner.Done(), clients: clients, figures: l.figures}
 
 	defer pool.closeAll() // after the last attempt has ended
 	var tasks sync.WaitGroup
 	tasks.Go(l.run)
 	tasks.Go(func() { l.discovery.run(inner) })
 	tasks.Go(func() { pool.run(inner) })
+	if at.mgmt != nil {
+		m := &mgmt{figures: l.figures, ready: l.front.isReady}
+		tasks.Go(func() { m.run(inner, at.mgmt, log) })
+	}
 	tasks.Go(func() { reload(inner, cfg, reloads, l.discovery, log) })
 	defer tasks.Wait()
 	defer stop()
 
 	server := l.front.server(log)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener{ln, clients, pool}) }()
+	go func() { failed <- server.Serve(listener{at.clients, clients, pool}) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -86,6 +86,8 @@
 	pool   *pool
 	fields []string
 	probe  string // path
+
+	figures *figures
 }
 
 // try makes an attempt and tells how it ended.
@@ -129,6 +131,7 @@
 		}
 		return result{outcome: balance.ConnectFailed}, false
 	}
+	u.figures.attempts.Add(1)
 	resp, body, err := c.in.next(a.message.method)
 	if err != nil {
 		return result{outcome: a.broken(err)}, false
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	p := newPool(patience, patience, 0, sockets)
 	t.Cleanup(p.closeAll)
-	return &upstream{pool: p, fields: []string{"busy", "rate"}, probe: "/metrics/load"}
+	return &upstream{pool: p, fields: []string{"busy", "rate"}, probe: "/metrics/load", figures: &figures{}}
 }
 
 func at(addr string) *endpoint {
