Take over from a running process without losing a connection, and swap settings

Design: both processes listen with SO_REUSEPORT. The new one asks the old one over a Unix socket in $TMPDIR for what it learned (balance.Memory), the list and where it came from, and stays connected: while it is, both keep to half of the descriptors and memory, and half of what may be spent on cold servers stays with each. On SIGTERM the old one has the kernel lead all new connections to the new one, empties its accept queue, stops listening in that moment, and answers what comes on kept connections with a close until none is left or the longest deadline is over. Nothing, silence or noise at the socket is a cold start. Rejected: passing the listening socket itself over the Unix socket. It loses nothing either, but without the old process's help, when it is silent or gone, there is nothing to listen on.

--- a/balance/api.go
+++ b/balance/api.go
@@ -179,6 +179,10 @@
 	Remaining     float64 // time until the client gives this try up
 	Repeat        bool    // the client says that it tried before
 	Write         bool
+
+	// A request may be taken while the settings change. Then these are the rules that it came under.
+	Under    *Class // in place of Class, which the settings have no more; nil: as they have it
+	Attempts int    // at most so many; 0: as the settings say
 }
 
 // Result is how an attempt or a probe ended.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,7 +61,7 @@
 )
 
 func (b *Balancer) onRequest(ev Request) error {
-	if ev.Class < 0 || ev.Class >= len(b.cfg.Classes) {
+	if ev.Under == nil && (ev.Class < 0 || ev.Class >= len(b.cfg.Classes)) {
 		return fmt.Errorf("request %d: unknown class %d", ev.ID, ev.Class)
 	}
 	r := b.open(ev)
@@ -140,7 +140,7 @@
 		for t := range b.tenants {
 			work := b.classes[c].asked * b.classes[c].mean * b.tenants[t].asked
 			total += work
-			if v := value(&b.classes[c], &b.tenants[t]); v*alike < own {
+			if v := value(b.classes[c], b.tenants[t]); v*alike < own {
 				below += work
 			} else if v < own*alike {
 				like += work
@@ -260,7 +260,7 @@
 // hopeless: nothing more can be sent for the request, or it is no use to wait for a server.
 func (b *Balancer) hopeless(r *request) bool {
 	tries, cuts := len(r.tries), r.cuts()
-	if tries >= b.cfg.MaxAttempts || tries-cuts > maxRepeats || cuts > maxCuts {
+	if tries >= r.Attempts || tries-cuts > maxRepeats || cuts > maxCuts {
 		return true
 	}
 	for _, a := range r.tries {
@@ -460,7 +460,7 @@
 	if !b.troubled(r) {
 		return 1
 	}
-	v := s.verdicts[r.Class]
+	v := s.verdicts[r.stats.place]
 	part := r.stats.expected + (v.score-r.stats.expected)*b.fade(v)
 	return max(part*part, floorTrust)
 }
@@ -469,7 +469,7 @@
 // by the turns that the other classes' weights give them.
 func (b *Balancer) turn(r *request, s *server) *float64 {
 	if b.troubled(r) {
-		return &s.verdicts[r.Class].running
+		return &s.verdicts[r.stats.place].running
 	}
 	return &s.running
 }
@@ -481,7 +481,7 @@
 func (b *Balancer) expect(r *request) {
 	good, known := 1.0, 1.0
 	for _, s := range b.servers {
-		if v := s.verdicts[r.Class]; b.troubled(r) {
+		if v := s.verdicts[r.stats.place]; b.troubled(r) {
 			good += b.fade(v) * v.score
 			known += b.fade(v)
 		}
@@ -491,7 +491,7 @@
 
 // conclude notes how a class fared at a server: 1 served, 0 failed.
 func (b *Balancer) conclude(r *request, s *server, res Result) {
-	v, score := &s.verdicts[r.Class], 1.0
+	v, score := &s.verdicts[r.stats.place], 1.0
 	if res == Failed || res == TimedOut {
 		b.startTurns(r)
 		r.stats.failedAt, score = b.now, 0
@@ -643,7 +643,7 @@
 
 // canFollow: another server may have the request next, and the time to answer within the aim.
 func (b *Balancer) canFollow(r *request) bool {
-	spent := len(r.tries) >= b.cfg.MaxAttempts || len(r.tries)-r.cuts() > maxRepeats
+	spent := len(r.tries) >= r.Attempts || len(r.tries)-r.cuts() > maxRepeats
 	if spent || !b.cfg.Cancel || r.live > 1 || r.class.Effect == Unsafe || b.pastHope(r) {
 		return false
 	}
--- /dev/null
+++ b/balance/change_test.go
@@ -0,0 +1,112 @@
+package balance
+
+import (
+	"math"
+	"testing"
+)
+
+// What one process learned of servers holds in the next one, and the budget of a cold server is split between them.
+func TestTakeOver(t *testing.T) {
+	cfg := Config{Seed: 1, MaxAttempts: 3, ColdFrom: 0.2, ColdTime: 10000, FallMultiple: 4, FallTime: 1000,
+		Classes: []Class{{Aim: 100, Deadline: 1000, Worth: 1}, {Aim: 100, Deadline: 1000, Worth: 1}}}
+	list := ServerList{Kind: ListFull, Servers: []Server{{ID: 1, Rating: 1}, {ID: 2, Rating: 1, StartedAt: 9000}}}
+	start := func() *Balancer {
+		b := New(cfg)
+		b.Start(10000)
+		b.Handle(10000, list)
+		return b
+	}
+	one := start()
+	one.byID[1].errs, one.byID[1].lastErr, one.byID[1].restUntil = 2, 9900, 12000
+	one.byID[1].verdicts[1] = verdict{score: 0.25, at: 9800}
+	one.byID[2].tokens = 0.8
+	one.classes[0].mean, one.classes[1].mean = 30, 70
+	m := one.Handover(10000)
+	two := start()
+	two.TakeOver(10000, m, []int{1, -1}, nil) // its first class was the second, the other is new
+	if s := two.byID[1]; s.errs != 2 || s.lastErr != 9900 || s.restUntil != 12000 || s.verdicts[0].score != 0.25 {
+		t.Errorf("of the failing server it knows %+v", s)
+	}
+	if two.Avoided(11000) != 1 || two.Avoided(13000) != 0 {
+		t.Errorf("avoids %d, then %d", two.Avoided(11000), two.Avoided(13000))
+	}
+	if got := two.classes[0].mean; got != 70 {
+		t.Errorf("answers of its first class take %v", got)
+	}
+	if sum := one.byID[2].tokens + two.byID[2].tokens; math.Abs(sum-0.8) > 1e-9 || two.byID[2].coldSince != 9000 {
+		t.Errorf("both may spend %v on a server cold since %v", sum, two.byID[2].coldSince)
+	}
+}
+
+// Whatever a memory holds, the figures stay such that decisions are taken.
+func TestTakeOverOfNonsense(t *testing.T) {
+	cfg := Config{Seed: 1, MaxAttempts: 3, Classes: []Class{{Aim: 100, Deadline: 1000, Worth: 1}}}
+	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 1e300} {
+		b := New(cfg)
+		b.Start(1000)
+		b.Handle(1000, ServerList{Kind: ListFull, Servers: []Server{{ID: 1, Rating: 1}}})
+		b.TakeOver(1000, Memory{
+			Started: v, AnsweredAt: v, AnswersAt: v, Admitted: v, Quickest: v, Slowness: v, SlowN: v, LateShare: v,
+			Answers: v, Latest: v, Unconnected: v, PerHeld: v, Busy: v, Learned: v, Drift: v, Steady: v,
+			Kinds: map[int]float64{0: v}, Zones: map[int]float64{0: v}, Tenants: []float64{v},
+			Classes: []ClassMemory{{v, v, v, v, v, v, v}},
+			Servers: []ServerMemory{{ID: 1, Size: v, LastErr: v, RestUntil: v, Errs: -5, ColdSince: v, Tokens: v,
+				TokensAt: v, HeardAt: v, SlowUntil: v, Scores: []float64{v}, ScoredAt: []float64{v}}, {ID: 9}},
+		}, []int{0}, []int{0})
+		actions, err := b.Handle(1001, Request{ID: 1, Remaining: 1000})
+		sent := false
+		for _, a := range actions {
+			sent = sent || a.Kind == Send
+		}
+		if err != nil || !sent {
+			t.Errorf("after figures of %v: %v, %v", v, actions, err)
+		}
+	}
+}
+
+// New settings hold for new requests, open ones keep theirs, and what was learned of a class goes with its name.
+func TestReconfigure(t *testing.T) {
+	read := Class{Aim: 100, Deadline: 1000, Worth: 1}
+	pay := Class{Effect: Unsafe, Aim: 100, Deadline: 1000, Worth: 5}
+	cfg := Config{Seed: 1, MaxAttempts: 3, Classes: []Class{read, pay}}
+	b := New(cfg)
+	b.Start(0)
+	servers := []Server{{ID: 1, Rating: 1}, {ID: 2, Rating: 1}, {ID: 3, Rating: 1}}
+	b.Handle(0, ServerList{Kind: ListFull, Servers: servers})
+	b.Handle(1, Request{ID: 1, Class: 0, Remaining: 900})
+	b.Handle(1, Request{ID: 2, Class: 1, Remaining: 900})
+	b.classes[1].mean = 42
+	cfg.Classes, cfg.MaxAttempts = []Class{pay, read, read}, 1 // the first is dropped
+	b.Reconfigure(cfg, []int{1, -1, -1}, nil)
+	if b.classes[0].mean != 42 || b.classes[1].mean != 0 {
+		t.Errorf("answers take %v and %v", b.classes[0].mean, b.classes[1].mean)
+	}
+	failing := func(id RequestID) (kinds []ActionKind) {
+		actions, err := b.Handle(2, Outcome{Request: id, Result: Failed, Took: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range actions {
+			if a.Kind != SetTimer {
+				kinds = append(kinds, a.Kind)
+			}
+		}
+		return kinds
+	}
+	if got := failing(1); len(got) != 1 || got[0] != Send {
+		t.Errorf("a read of before is not tried again: %v", got)
+	}
+	if got := failing(2); len(got) != 1 || got[0] != Fail {
+		t.Errorf("a payment of before: %v", got)
+	}
+	b.Handle(3, Request{ID: 3, Class: 1, Remaining: 900})
+	if got := failing(3); len(got) != 1 || got[0] != Refuse {
+		t.Errorf("a new read with one attempt: %v", got)
+	}
+	if _, err := b.Handle(4, Request{ID: 4, Class: -1, Under: &read, Attempts: 2, Remaining: 900}); err != nil {
+		t.Errorf("a request that came under the old rules: %v", err)
+	}
+	if got := failing(4); len(got) != 1 || got[0] != Send {
+		t.Errorf("... is not tried again: %v", got)
+	}
+}
--- a/balance/rotation_test.go
+++ b/balance/rotation_test.go
@@ -111,7 +111,7 @@
 			s.inFlight, s.running = c.holds[i], float64(10*(4-i))
 		}
 		g.b.servers[1].errs, g.b.servers[1].lastErr = 1, g.now-5000
-		r := &request{class: &g.b.cfg.Classes[safeClass], stats: &g.b.classes[safeClass]}
+		r := &request{class: &g.b.cfg.Classes[safeClass], stats: g.b.classes[safeClass]}
 		if c.want == 2 {
 			if s := g.b.pick(r, true); s.ID == 2 {
 				t.Errorf("%v: the re-route went to the server of lowest m", c.holds)
--- a/balance/state.go
+++ b/balance/state.go
@@ -35,10 +35,10 @@
 
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
-	classes []classStats
-	busy    float64 // recent part of probed servers that held anything
-	perHeld float64 // time of an answer for each request its server held, itself included
-	tenants []tally // the last is for requests without a tenant
+	classes []*classStats
+	busy    float64  // recent part of probed servers that held anything
+	perHeld float64  // time of an answer for each request its server held, itself included
+	tenants []*tally // the last is for requests without a tenant
 
 	admitted                  float64 // when the last request came
 	steady                    float64 // part of the load that is refused lastingly
@@ -78,7 +78,7 @@
 	downs     int     // attempts in a row that could not connect
 	slowUntil float64 // its last answer took too long: it holds too much
 
-	verdicts []verdict // by class
+	verdicts []verdict // by class; the last is for classes that the settings have no more
 
 	coldSince float64 // start of its warm-up
 	tokens    float64 // sends left in the cold budget
@@ -136,7 +136,7 @@
 func (b *Balancer) startTurns(r *request) {
 	for _, s := range b.servers {
 		if !b.troubled(r) {
-			s.verdicts[r.Class].running = s.running
+			s.verdicts[r.stats.place].running = s.running
 		}
 	}
 }
@@ -217,6 +217,7 @@
 // classStats follows how long answers of a class take, and counts its requests.
 type classStats struct {
 	tally
+	place                        int // among the verdicts of each server
 	n, mean, dev, longest, worth float64
 	failedAt                     float64 // when a server last failed it
 	expected                     float64 // part of it that servers serve, on the mean
@@ -239,7 +240,7 @@
 	if i < 0 || i >= len(b.cfg.Tenants) {
 		i = len(b.cfg.Tenants)
 	}
-	return &b.tenants[i]
+	return b.tenants[i]
 }
 
 func (c *classStats) add(took, gain float64) {
@@ -253,24 +254,10 @@
 func New(cfg Config) *Balancer {
 	b := &Balancer{
 		cfg: cfg, rng: cfg.Seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
-		classes: make([]classStats, len(cfg.Classes)), tenants: make([]tally, len(cfg.Tenants)+1),
 		kinds: map[int]*size{}, zones: map[int]*zone{}, longestAim: 1, quickest: startAim, slowness: startAim, busy: 1, level: 1,
 	}
-	for i := range cfg.Classes {
-		b.longestAim = max(b.longestAim, cfg.Classes[i].Aim)
-		b.classes[i].tally, b.classes[i].worth = tally{asked: 1}, cfg.Classes[i].Worth
-		b.classes[i].failedAt, b.classes[i].expected = math.Inf(-1), 1
-	}
+	b.govern(cfg, nil, nil)
 	b.perHeld = startAim * b.longestAim
-	for i := range b.tenants {
-		b.tenants[i] = tally{asked: 1}
-		if i < len(cfg.Tenants) {
-			b.tenants[i].share = cfg.Tenants[i].Share
-		}
-	}
-	if cfg.Goal == (Goal{}) {
-		b.cfg.Goal.Whole = 1
-	}
 	return b
 }
 
@@ -475,9 +462,17 @@
 // open remembers a new request.
 func (b *Balancer) open(ev Request) *request {
 	r := &request{
-		Request: ev, class: &b.cfg.Classes[ev.Class], stats: &b.classes[ev.Class],
+		Request: ev, class: ev.Under,
 		tenant: b.tenant(ev.Tenant), arrived: b.now, deadline: b.now + ev.Remaining, wakeAt: math.Inf(1),
 	}
+	if r.class == nil {
+		r.class, r.stats = &b.cfg.Classes[ev.Class], b.classes[ev.Class]
+	} else { // nothing of it says how a class of the present settings fares
+		r.stats = newStats(r.class, len(b.cfg.Classes))
+	}
+	if r.Attempts == 0 {
+		r.Attempts = b.cfg.MaxAttempts
+	}
 	b.reqs[ev.ID] = r
 	r.stats.asked++
 	r.tenant.asked++
@@ -518,7 +513,7 @@
 	s := b.byID[entry.ID]
 	if s == nil {
 		s = &server{size: size{factor: 1}, coldSince: math.Inf(-1), usedAt: math.Inf(1)}
-		s.verdicts = make([]verdict, len(b.cfg.Classes))
+		s.verdicts = make([]verdict, len(b.cfg.Classes)+1)
 		for c := range s.verdicts {
 			s.verdicts[c].at = math.Inf(-1)
 		}
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -358,7 +358,7 @@
 		g.ask(safeClass)
 		g.b.steady, g.b.lateShare = c.shed, 1
 		r := &request{
-			Request: Request{Remaining: c.remaining}, class: &g.b.cfg.Classes[safeClass], stats: &g.b.classes[safeClass],
+			Request: Request{Remaining: c.remaining}, class: &g.b.cfg.Classes[safeClass], stats: g.b.classes[safeClass],
 		}
 		if got := g.b.late(r) && g.b.steady >= r.class.LateWorth; got != c.refused {
 			t.Errorf("%+v: refused %v", c, got)
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -25,9 +25,8 @@
 // clients holds the connections of the application to a number of descriptors. Without it, connections that
 // stay and say nothing take every descriptor, and nobody is served any more.
 type clients struct {
-	most int
-
 	mu     sync.Mutex
+	most   int
 	open   int
 	silent queues.List // connections that never asked, the oldest first
 	idle   queues.List // connections between two requests, the longest idle first
@@ -73,6 +72,23 @@
 	return cl
 }
 
+// limit changes the number of descriptors. What is over it goes as far as it would for new connections.
+func (cs *clients) limit(most int) {
+	cs.mu.Lock()
+	cs.most = most
+	over := cs.open - most
+	cs.mu.Unlock()
+	for ; over > 0 && cs.evict(); over-- {
+	}
+}
+
+// none reports whether no connection is open.
+func (cs *clients) none() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.open == 0
+}
+
 // crowded reports whether so many connections wait for a request that no more are kept. The application has a
 // number of descriptors too: clients that ask once and keep their connections use them up, and others cannot connect.
 func (cs *clients) crowded() bool {
@@ -242,29 +258,3 @@
 	})
 	return state
 }
-
-// listener outlives a lack of descriptors: what waits in the backlog counts as taken, so that the pause must be
-// short, and a silent connection is worth less than a new one.
-type listener struct {
-	net.Listener
-	clients *clients
-	pool    *pool
-}
-
-func (l listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err == nil {
-			if cl := l.clients.add(c.(*net.TCPConn)); cl != nil {
-				return cl, nil
-			}
-			continue
-		}
-		if !exhausted(err) {
-			return nil, err
-		}
-		if !l.pool.evict() && !l.clients.evict() {
-			time.Sleep(acceptPause)
-		}
-	}
-}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"net"
 	"net/netip"
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,17 +29,21 @@
 	Limits    Limits
 	Known     list // the servers as last listed; it may be old
 
-	Balance    balance.Config
-	classes    map[string]int
-	classNames []string // in the order of Balance.Classes
-	tenants    map[string]int
-	zones      map[string]int
-	kinds      map[string]int
-	fields     []string // the figures of a load report, in the module's order
+	Balance     balance.Config
+	classes     map[string]int
+	classNames  []string // in the order of Balance.Classes
+	tenantNames []string
+	tenants     map[string]int
+	zones       map[string]int
+	kinds       map[string]int
+	fields      []string // the figures of a load report, in the module's order
 
-	reread    func() (*Config, error) // reads the file again, which then goes before the environment
-	restTime  time.Duration           // how long a connection to a server rests between two requests
-	lastCalls time.Duration           // how long new connections are taken after the signal to end
+	fileDiscovery string                  // what the file itself says
+	tree          map[string]any          // the file, without the servers
+	scratch       string                  // a folder that both processes of an upgrade see; empty: none
+	reread        func() (*Config, error) // reads the file again, which then goes before the environment
+	restTime      time.Duration           // how long a connection to a server rests between two requests
+	lastCalls     time.Duration           // how long new connections are taken after the signal to end
 }
 
 // Limits bound what the sidecar may use of its machine.
@@ -56,9 +62,79 @@
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	}
+	l.holdMemory(1)
+}
+
+// holdMemory holds this process to its part of the memory of all that run of this sidecar.
+func (l Limits) holdMemory(processes int) {
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.MemoryMB * heapShare * (1 << 20)))
+		debug.SetMemoryLimit(int64(l.MemoryMB * heapShare * (1 << 20) / float64(processes)))
+	}
+}
+
+// inherit goes by what the process before knew, where that is newer than the file: the servers, and, as the
+// environment does not change with a reload, the discovery that the file names.
+func (c *Config) inherit(l *legacy) {
+	if l.Discovery != "" && l.Discovery == c.fileDiscovery {
+		c.Discovery = l.Discovery
+	}
+	if len(l.List.Members) == 0 {
+		return
+	}
+	c.Known = l.List
+	if l.Discovery != c.Discovery {
+		c.Known.Complete = false // the revision is another's
+	}
+}
+
+// lacks finds what the present configuration's file has and the next one's has not: a default in its place could
+// break a rule.
+func (c *Config) lacks(next *Config) error {
+	if missing := lacks(c.tree, next.tree); missing != "" {
+		return fmt.Errorf("the file lacks %s", missing)
+	}
+	return nil
+}
+
+// lacks returns the path of a key that before has and now has not. Of the entries of a list, which may be others
+// now, each must have what all had before.
+func lacks(before, now any) string {
+	switch before := before.(type) {
+	case map[string]any:
+		now, ok := now.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(before)) {
+			if !ok || before[key] != nil && now[key] == nil {
+				return key
+			}
+			if missing := lacks(before[key], now[key]); missing != "" {
+				return key + "." + missing
+			}
+		}
+	case []any:
+		now, ok := now.([]any)
+		if !ok {
+			return "its list"
+		}
+		for i, entry := range now {
+			if missing := lacks(common(before), entry); missing != "" {
+				return fmt.Sprintf("%d.%s", i, missing)
+			}
+		}
 	}
+	return ""
+}
+
+// common is what all entries of a list have.
+func common(list []any) map[string]any {
+	var all map[string]any
+	for _, entry := range list {
+		fields, _ := entry.(map[string]any)
+		if all == nil {
+			all = maps.Clone(fields)
+		}
+		maps.DeleteFunc(all, func(key string, _ any) bool { return fields[key] == nil })
+	}
+	return all
 }
 
 // named is anything in the settings that goes by its name on the sockets and by its place in the module.
@@ -109,14 +185,22 @@
 		return nil, err
 	}
 	cfg := &Config{
-		Name:      cmp.Or(getenv("NODE_NAME"), file.Name),
-		Listen:    cmp.Or(getenv("NODE_LISTEN"), file.Listen),
-		Mgmt:      cmp.Or(getenv("NODE_MGMT"), file.Mgmt),
-		Discovery: cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
-		Limits:    file.Limits,
-		Known:     file.Known,
-		restTime:  restTime,
-		lastCalls: lastCalls,
+		Name:          cmp.Or(getenv("NODE_NAME"), file.Name),
+		Listen:        cmp.Or(getenv("NODE_LISTEN"), file.Listen),
+		Mgmt:          cmp.Or(getenv("NODE_MGMT"), file.Mgmt),
+		fileDiscovery: file.Discovery,
+		Discovery:     cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
+		Limits:        file.Limits,
+		Known:         file.Known,
+		scratch:       getenv("TMPDIR"),
+		restTime:      restTime,
+		lastCalls:     lastCalls,
+	}
+	if err := json.Unmarshal(text, &cfg.tree); err != nil {
+		return nil, err
+	}
+	if cfg.tree["known"] != nil {
+		cfg.tree["known"] = true // the servers change all the time
 	}
 	if err := cfg.check(); err != nil {
 		return nil, err
@@ -173,8 +257,14 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	c.classNames = names(s.Classes)
-	c.classes, c.tenants = positions(c.classNames), positions(names(s.Tenants))
+	c.tenantNames = names(s.Tenants)
+	c.classes, c.tenants = positions(c.classNames), positions(c.tenantNames)
 	c.zones, c.kinds, c.fields = positions(s.Zones), positions(s.Kinds), s.Report.Fields
+	for _, name := range append(slices.Clone(c.classNames), c.tenantNames...) {
+		if name == "" {
+			return fmt.Errorf("settings: a class or tenant without name")
+		}
+	}
 	if len(c.classes) != len(s.Classes) || len(c.tenants) != len(s.Tenants) {
 		return fmt.Errorf("settings: two classes or tenants of one name")
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +50,15 @@
 	UpSince  float64 `json:"up_since_ms"`
 }
 
+// clone copies a member: its texts are parts of the whole list's, which they would keep in memory.
+func (m *member) clone() member {
+	c := *m
+	for _, text := range []*string{&c.ID, &c.HostPort, &c.Locality, &c.Flavor, &c.Phase} {
+		*text = strings.Clone(*text)
+	}
+	return c
+}
+
 var phases = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
 
 // check rejects a list as a whole: one entry skipped could be a drain missed.
@@ -187,7 +197,7 @@
 		}
 		news := !d.held || l.Revision != d.revision
 		went, d.held, d.revision = true, true, l.Revision
-		d.post(listed{l})
+		d.post(listed{l, addr})
 		if !news { // an agent may answer at once each time
 			sleep(ctx, leastGap-time.Since(start))
 		}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -24,8 +24,7 @@
 	// written in one piece takes a moment; a connection may be silent for 2 s before its first.
 	headTimeout = 2200 * time.Millisecond // for the head of a request
 	readTimeout = 2500 * time.Millisecond // for all of it
-	// writeTimeout is for the answer, beyond the longest deadline: a client that does not read holds its answer
-	// and a descriptor.
+	// writeTimeout is for an answer: a client that does not read holds it, and a descriptor.
 	writeTimeout = 2 * time.Second
 	// keepAlive is how long a connection may be idle while there are few: clients that ask once and stay hold their
 	// descriptors, of which the application has a number too.
@@ -41,7 +40,7 @@
 	message  *message
 	received time.Time
 	answers  chan *answer // takes the one final answer
-	lane     *lane        // counts it
+	rules    *rules       // under which it was read
 }
 
 // answer is a final answer.
@@ -54,11 +53,10 @@
 
 // front is the side that the application talks to.
 type front struct {
-	cfg     *Config
+	rules   atomic.Pointer[rules]
 	post    func(any)
 	done    <-chan struct{} // closed when nothing answers any more
 	clients *clients
-	figures *figures
 	ready   atomic.Bool // there are servers to send to
 	ending  atomic.Bool // the sidecar shuts down
 }
@@ -71,7 +69,6 @@
 		Handler:           f,
 		ReadHeaderTimeout: headTimeout,
 		ReadTimeout:       readTimeout,
-		WriteTimeout:      longest(f.cfg.Balance.Classes) + writeTimeout,
 		IdleTimeout:       keepAlive,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -147,6 +144,7 @@
 		if a.last || f.ending.Load() || cl.framing.blind || cl.surplus() || cl.owner.crowded() {
 			w.Header().Set("Connection", "close")
 		}
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 		a.write(w)
 	case <-r.Context().Done():
 		f.post(leftBy{c})
@@ -169,21 +167,22 @@
 
 // parse checks a request and turns it into a call.
 func (f *front) parse(w http.ResponseWriter, r *http.Request) (*call, error) {
-	c := &call{received: time.Now(), answers: make(chan *answer, 1), trace: r.Header.Get("X-Trace-Id")}
+	now := f.rules.Load()
+	c := &call{received: time.Now(), answers: make(chan *answer, 1), trace: r.Header.Get("X-Trace-Id"), rules: now}
 	for _, name := range once {
 		if len(r.Header[name]) > 1 {
 			return nil, malformed("%s more than once", name)
 		}
 	}
-	class, ok := f.cfg.classes[r.Header.Get("X-Qos")]
+	class, ok := now.classes[r.Header.Get("X-Qos")]
 	if !ok {
 		return nil, malformed("unknown class %q in X-Qos", r.Header.Get("X-Qos"))
 	}
-	tenant, ok := f.cfg.tenants[r.Header.Get("X-Customer")]
-	if !ok && len(f.cfg.tenants) > 0 {
+	tenant, ok := now.tenants[r.Header.Get("X-Customer")]
+	if !ok && len(now.tenants) > 0 {
 		return nil, malformed("unknown tenant %q in X-Customer", r.Header.Get("X-Customer"))
 	}
-	rules := f.cfg.Balance.Classes[class]
+	rules := now.list[class]
 	if err := checkForm(r, rules.Effect); err != nil {
 		return nil, err
 	}
@@ -212,7 +211,6 @@
 	if !(hint > 0) || math.IsInf(hint, 0) {
 		hint = 0
 	}
-	c.lane = f.figures.lane(r.Header.Get("X-Qos"))
 	c.request = balance.Request{
 		Class: class, Tenant: tenant, WorkHint: hint / 1000, Key: parseKey(r.Header.Get("X-Object")),
 		Remaining: left, Repeat: r.Header.Get("X-Second-Try") == "1",
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -107,7 +107,7 @@
 	n.end = end
 	second := n.mgmt(cfg)
 	go func() {
-		n.ended <- serve(ctx, cfg, listeners{clients: ln, mgmt: second}, n.reloads, slog.New(slog.DiscardHandler))
+		n.ended <- serve(ctx, cfg, outside{clients: ln, mgmt: second}, n.reloads, slog.New(slog.DiscardHandler))
 	}()
 	t.Cleanup(func() {
 		n.client.CloseIdleConnections()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -33,8 +33,16 @@
 		result   result
 		took     float64
 	}
-	listed     struct{ list *list }
+	listed struct {
+		list *list
+		from string // the address of discovery
+	}
 	listFailed struct{ err error }
+	settled    struct { // a new configuration
+		cfg  *Config
+		done chan<- bool
+	}
+	bequeath struct{ legacy chan<- *legacy } // another process takes over
 )
 
 // loop owns the balancer and what is known of each request. All else talks to it by events; it never waits for
@@ -50,6 +58,12 @@
 	front     *front
 	figures   *figures
 
+	rules    *rules  // for new requests
+	heritage *legacy // of the process before, until it is taken over
+	listedBy string  // the discovery that told the list held, of this revision
+	revision int64
+	held     bool
+
 	started time.Time // the clock's origin: the module is told Unix milliseconds, counted on by the monotonic clock
 	epoch   float64
 	now     float64
@@ -72,6 +86,8 @@
 	call     *call
 	deadline float64
 	attempts []*attempt
+	most     int // attempts
+	lane     *lane
 	live     int
 	done     bool
 }
@@ -84,9 +100,7 @@
 		requests: map[balance.RequestID]*request{}, byCall: map[*call]*request{}, byTrace: map[string]*request{},
 		figures: &figures{}, endpoints: map[string]*endpoint{}, byID: map[balance.ServerID]*endpoint{}, ctx: ctx,
 	}
-	for _, class := range cfg.classNames {
-		l.figures.lane(class)
-	}
+	l.rules = newRules(cfg, l.figures)
 	return l
 }
 
@@ -112,7 +126,8 @@
 	defer timer.Stop()
 	l.now = l.clock(time.Now())
 	l.do(l.bal.Start(l.now))
-	l.take(listed{&l.cfg.Known}, balance.ListCached)
+	l.take(listed{&l.cfg.Known, l.cfg.Discovery}, balance.ListCached)
+	l.inherit()
 	var gauges <-chan time.Time
 	if l.cfg.Mgmt != "" {
 		ticker := time.NewTicker(time.Second / gaugesEvery)
@@ -201,6 +216,11 @@
 			kind = balance.ListFull
 		}
 		l.take(ev, kind)
+	case settled:
+		l.change(ev.cfg)
+		close(ev.done)
+	case bequeath:
+		ev.legacy <- l.legacy()
 	case listFailed:
 		l.log.Info("list of servers", "error", ev.err)
 		if l.cfg.Balance.Subscribe { // else the module did not ask, and discovery calls again by itself
@@ -276,7 +296,7 @@
 
 func (l *loop) begin(c *call) {
 	l.lastID++
-	r := &request{id: l.lastID, call: c}
+	r := &request{id: l.lastID, call: c, most: c.rules.attempts, lane: c.rules.lanes[c.request.Class]}
 	l.figures.pending.Add(1)
 	if l.byTrace[c.trace] != nil {
 		// Servers and clients know a request by its id: under one of an open request it would get that one's
@@ -288,6 +308,7 @@
 	}
 	l.byTrace[c.trace] = r
 	c.request.ID = r.id
+	l.rules.translate(c.rules, &c.request)
 	c.request.Remaining = max(0, c.request.Remaining-(l.now-l.clock(c.received)))
 	r.deadline = l.now + c.request.Remaining
 	l.requests[r.id], l.byCall[c] = r, r
@@ -308,7 +329,7 @@
 		at.answered.Store(true)
 	}
 	if a != nil {
-		r.call.lane.count(a.status)
+		r.lane.count(a.status)
 		r.call.answers <- a
 	}
 	l.forget(r)
@@ -350,7 +371,7 @@
 	at.ctx, at.cancel = context.WithCancel(l.ctx)
 	r.attempts = append(r.attempts, at)
 	r.live++
-	if r.done || e == nil || len(r.attempts) > l.cfg.Balance.MaxAttempts {
+	if r.done || e == nil || len(r.attempts) > r.most {
 		l.pending = append(l.pending, ended{attempt: at, result: result{outcome: balance.Moot}})
 		return
 	}
@@ -399,15 +420,13 @@
 // take brings a list to the endpoints and to the module.
 func (l *loop) take(ev listed, kind balance.ListKind) {
 	list := balance.ServerList{Kind: kind}
+	l.listedBy, l.revision, l.held = ev.from, ev.list.Revision, l.held || kind != balance.ListCached || ev.list.Complete
 	seen := map[string]bool{}
 	for i := range ev.list.Members {
 		m := &ev.list.Members[i]
 		seen[m.ID] = true
 		e := l.endpoint(m)
-		list.Servers = append(list.Servers, balance.Server{
-			ID: e.id, State: phases[m.Phase], StartedAt: max(0, m.UpSince), Rating: m.Size,
-			Cell: m.Cell, Zone: position(l.cfg.zones, m.Locality), Kind: position(l.cfg.kinds, m.Flavor),
-		})
+		list.Servers = append(list.Servers, l.entry(e, m))
 		if m.Phase != "ready" {
 			l.shut(e)
 		}
@@ -427,6 +446,14 @@
 	l.tell(list)
 }
 
+// entry is what the module is told of a member.
+func (l *loop) entry(e *endpoint, m *member) balance.Server {
+	return balance.Server{
+		ID: e.id, State: phases[m.Phase], StartedAt: max(0, m.UpSince), Rating: m.Size,
+		Cell: m.Cell, Zone: position(l.cfg.zones, m.Locality), Kind: position(l.cfg.kinds, m.Flavor),
+	}
+}
+
 // endpoint returns the endpoint of a list entry, which may be new, or at a new address.
 func (l *loop) endpoint(m *member) *endpoint {
 	e := l.endpoints[m.ID]
@@ -437,6 +464,7 @@
 		l.upstream.pool.closeIdle(e) // they led to the process before, and may look open all the same
 	}
 	e.upSince = m.UpSince
+	e.member = m.clone()
 	addr := m.HostPort // a pointer into the list would keep all of it
 	e.addr.Store(&addr)
 	e.closed.Store(m.Phase != "ready")
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -32,9 +32,9 @@
 	s := newScript(t, say(200, "served"))
 	l := newLoop(t.Context(), testConfig(t), slog.New(slog.DiscardHandler))
 	l.upstream, l.front = newUpstream(t, 1024), &front{}
-	l.take(listed{&list{Complete: true, Members: []member{ready("s-1", s.addr)}}}, balance.ListFull)
+	l.take(listed{list: &list{Complete: true, Members: []member{ready("s-1", s.addr)}}}, balance.ListFull)
 	c := &call{
-		answers: make(chan *answer, 1), trace: "7", received: l.started,
+		answers: make(chan *answer, 1), trace: "7", received: l.started, rules: l.rules,
 		request: balance.Request{Remaining: 20000},
 		message: &message{method: "GET", uri: "/api", host: "app.svc", header: http.Header{}},
 	}
@@ -60,7 +60,7 @@
 		l := newLoop(t.Context(), testConfig(t), slog.New(slog.DiscardHandler))
 		l.upstream, l.front = newUpstream(t, 1024), &front{}
 		for _, i := range order {
-			l.take(listed{&list{Members: members[i : i+1]}}, balance.ListDelta)
+			l.take(listed{list: &list{Members: members[i : i+1]}}, balance.ListDelta)
 		}
 		all := map[string]balance.ServerID{}
 		for name, e := range l.endpoints {
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -35,9 +35,9 @@
 	connectTimeout time.Duration
 	idleTime       time.Duration
 	restTime       time.Duration
-	most           int // open connections
 
 	mu   sync.Mutex
+	most int                   // open connections
 	open int                   // dialled, in use and idle
 	idle map[*endpoint][]*conn // the most recently used last
 }
@@ -155,6 +155,16 @@
 	}
 }
 
+// limit changes the number of sockets; idle connections over it are closed.
+func (p *pool) limit(most int) {
+	p.mu.Lock()
+	p.most = most
+	over := p.open - most
+	p.mu.Unlock()
+	for ; over > 0 && p.evict(); over-- {
+	}
+}
+
 func (p *pool) release() {
 	p.mu.Lock()
 	p.open--
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 )
 
-// reload reads the configuration's file again with each signal, until ctx ends, and moves to the discovery that
-// it names. The rest of the configuration holds until a restart; where the file cannot be used, all of it does.
-func reload(ctx context.Context, cfg *Config, signals <-chan os.Signal, d *discovery, log *slog.Logger) {
+// reload reads the configuration's file again with each signal, until ctx ends: its settings hold from then on, and
+// the list is followed at the discovery that it names. Where the file cannot be used, nothing changes.
+func (l *loop) reload(ctx context.Context, signals <-chan os.Signal) {
+	cfg := l.cfg
 	for {
 		select {
 		case <-signals:
@@ -16,11 +16,24 @@
 			return
 		}
 		next, err := cfg.reread()
+		if err == nil {
+			err = cfg.lacks(next)
+		}
 		if err != nil {
-			log.Error("the old configuration stays", "error", err)
+			l.figures.reloadErrors.Add(1)
+			l.log.Error("the old configuration stays", "error", err)
 			continue
 		}
-		log.Info("configuration read again", "discovery", next.Discovery)
-		d.move(next.Discovery)
+		done := make(chan bool)
+		l.post(settled{next, done})
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+		l.figures.reloads.Add(1)
+		l.log.Info("configuration read again", "discovery", next.Discovery, "classes", next.classNames)
+		l.discovery.move(next.Discovery)
+		cfg = next
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,95 +27,134 @@
 	restTime  = 3 * time.Millisecond
 	lastCalls = 500 * time.Millisecond // Config.lastCalls
 	lastSpare = 650 * time.Millisecond // beyond the longest deadline, by when all must have ended
+	// lastDeadline is what counts as the longest deadline at most: soon after it the process is killed.
+	lastDeadline = 3 * time.Second
+	lookAgain    = 10 * time.Millisecond // whether a client is left
 )
 
 // Run serves until ctx ends, and then until all that was taken is answered. With each signal of reloads it reads
-// the configuration's file again.
+// the configuration's file again. Where another process of this sidecar runs, it takes over from that.
 func Run(ctx context.Context, cfg *Config, reloads <-chan os.Signal, log *slog.Logger) error {
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	out := outside{handover: newHandover(cfg, log)}
+	if out.handover != nil {
+		if l, err := out.handover.inherit(); err == nil {
+			out.heritage = l
+			cfg.inherit(l)
+			log.Info("taking over", "servers", len(l.List.Members), "revision", l.List.Revision)
+		} else if !errors.Is(err, os.ErrNotExist) {
+			log.Info("starting cold", "error", err)
+		}
 	}
-	second, err := listenMgmt(cfg)
-	if err != nil {
+	if err := out.listen(cfg); err != nil {
 		return err
 	}
-	return serve(ctx, cfg, listeners{ln, second}, reloads, log)
+	return serve(ctx, cfg, out, reloads, log)
 }
 
-// listeners are the addresses of a sidecar: for its clients and, where one is named, the second one.
-type listeners struct{ clients, mgmt net.Listener }
+// outside is where a sidecar meets others: its clients, callers of the second address and, in an upgrade, the
+// process before or after it. Only the first is always there.
+type outside struct {
+	clients, mgmt net.Listener
+	handover      *handover
+	heritage      *legacy
+}
 
-func listenMgmt(cfg *Config) (net.Listener, error) {
+func (o *outside) listen(cfg *Config) (err error) {
 	if cfg.Mgmt == "" {
-		return nil, nil
+		if o.clients, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		return nil
+	}
+	if o.clients, err = listenShared(cfg.Listen); err != nil {
+		return err
 	}
-	ln, err := net.Listen("tcp", cfg.Mgmt)
-	if err != nil {
-		return nil, fmt.Errorf("second address: %w", err)
+	if o.mgmt, err = net.Listen("tcp", cfg.Mgmt); err != nil {
+		o.clients.Close()
+		return fmt.Errorf("second address: %w", err)
 	}
-	return ln, nil
+	return nil
 }
 
-func serve(
-	ctx context.Context, cfg *Config, at listeners, reloads <-chan os.Signal, log *slog.Logger,
-) error {
-	log.Info("listening", "address", at.clients.Addr().String())
+func serve(ctx context.Context, cfg *Config, out outside, reloads <-chan os.Signal, log *slog.Logger) error {
+	log.Info("listening", "address", out.clients.Addr().String())
 	inner, stop := context.WithCancel(context.Background())
 	idle := millis(cfg.Balance.ConnIdle * idleShare)
 	if idle > 0 {
 		cfg.Balance.ConnIdle *= idleShare // so long a connection stays open, as the module is to know
 	}
 	l := newLoop(inner, cfg, log)
+	l.heritage = out.heritage
 	dialTime := cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second)
-	sockets := cfg.Limits.Sockets
-	if at.mgmt != nil {
-		sockets -= mgmtCallers
-	}
-	pool := newPool(dialTime, cmp.Or(idle, time.Minute), cfg.restTime, sockets)
+	pool := newPool(dialTime, cmp.Or(idle, time.Minute), cfg.restTime, cfg.Limits.Sockets)
 	probe := "/alive"
 	if cfg.Balance.Reports != balance.ReportNone {
 		probe = "/metrics/load"
 	}
 	l.upstream = &upstream{pool: pool, fields: cfg.fields, probe: probe, figures: l.figures}
 	l.discovery = newDiscovery(cfg, l.post)
-	clients := &clients{most: sockets - spareSockets - pool.most}
-	l.front = &front{cfg: cfg, post: l.post, done: inner.Done(), clients: clients, figures: l.figures}
+	clients := &clients{}
+	share(cfg, 1, pool, clients)
+	l.front = &front{post: l.post, done: inner.Done(), clients: clients}
+	l.front.rules.Store(l.rules)
 
 	defer pool.closeAll() // after the last attempt has ended
 	var tasks sync.WaitGroup
 	tasks.Go(l.run)
 	tasks.Go(func() { l.discovery.run(inner) })
 	tasks.Go(func() { pool.run(inner) })
-	if at.mgmt != nil {
+	tasks.Go(func() { l.reload(inner, reloads) })
+	if out.mgmt != nil {
 		m := &mgmt{figures: l.figures, ready: l.front.isReady}
-		tasks.Go(func() { m.run(inner, at.mgmt, log) })
+		tasks.Go(func() { m.run(inner, out.mgmt, log) })
+	}
+	if out.handover != nil {
+		out.handover.shared = func(processes int) {
+			share(cfg, processes, pool, clients)
+			if processes == 1 {
+				spread(out.clients)
+			}
+		}
+		tasks.Go(func() { out.handover.run(inner, l.bequeath) })
 	}
-	tasks.Go(func() { reload(inner, cfg, reloads, l.discovery, log) })
 	defer tasks.Wait()
 	defer stop()
 
 	server := l.front.server(log)
+	door := newListener(out.clients, clients, pool)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener{at.clients, clients, pool}) }()
+	go func() { failed <- server.Serve(door) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return l.front.end(server, longest(cfg.Balance.Classes)+lastSpare, failed)
+	log.Info("ending", "upgrade", out.handover.succeeded())
+	l.front.ending.Store(true)
+	limit, cancel := context.WithTimeout(context.Background(), min(longest(l.front.rules.Load().list), lastDeadline)+lastSpare)
+	defer cancel()
+	if out.handover.succeeded() {
+		return l.front.retire(limit, server, door)
+	}
+	return l.front.end(limit, server, door, cfg.lastCalls)
 }
 
-// end takes new connections for a little while yet, and answers all that was taken.
-func (f *front) end(server *http.Server, within time.Duration, failed <-chan error) error {
-	limit, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	f.ending.Store(true)
-	select {
-	case <-time.After(f.cfg.lastCalls):
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
+// share holds the processes that run of this sidecar to its limits together.
+func share(cfg *Config, processes int, pool *pool, clients *clients) {
+	sockets := cfg.Limits.Sockets/processes - spareSockets
+	if cfg.Mgmt != "" {
+		sockets -= mgmtCallers
 	}
+	sockets = max(sockets, leastSockets-spareSockets)
+	pool.limit(sockets / 2)
+	clients.limit(sockets - sockets/2)
+	cfg.Limits.holdMemory(processes)
+}
+
+// end takes new connections for a little while yet, and answers all that was taken.
+func (f *front) end(limit context.Context, server *http.Server, door *listener, lastCalls time.Duration) error {
+	sleep(limit, lastCalls)
+	door.end(limit)
 	err := server.Shutdown(limit)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = server.Close() // connections on which no request ever came
@@ -123,6 +162,23 @@
 	return err
 }
 
+// retire leaves new connections to the process that has taken over. Clients go on using those that they have: each
+// ends with its next answer, as closing it now could cross a request that nobody would read.
+func (f *front) retire(limit context.Context, server *http.Server, door *listener) error {
+	steer(door.Listener)
+	sleep(limit, settling)
+	door.end(limit)
+	ticker := time.NewTicker(lookAgain)
+	defer ticker.Stop()
+	for limit.Err() == nil && !f.clients.none() {
+		select {
+		case <-ticker.C:
+		case <-limit.Done():
+		}
+	}
+	return server.Close()
+}
+
 func longest(classes []balance.Class) time.Duration {
 	most := 0.0
 	for i := range classes {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -31,6 +31,7 @@
 	id      balance.ServerID
 	name    string
 	upSince float64 // of the loop: when the server last started
+	member  member  // of the loop: as last listed
 	addr    atomic.Pointer[string]
 	closed  atomic.Bool // it drains or is gone: nothing new may be sent
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -205,7 +205,7 @@
 	s, u := newScript(t, say(200, "")), newUpstream(t, 1024)
 	u.want(t, newAttempt(at(s.addr), patience), balance.OK)
 	inner := &short{failures: 3}
-	if _, err := (listener{inner, &clients{most: 1}, u.pool}).Accept(); !errors.Is(err, net.ErrClosed) {
+	if _, err := newListener(inner, &clients{most: 1}, u.pool).Accept(); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("ended with %v", err)
 	}
 	if u.pool.open != 0 {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -47,17 +47,17 @@
 		Fields []string `json:"fields"`
 	} `json:"report"`
 	Limits struct {
-		Cancel         bool    `json:"cancel"`
-		ConnectTimeout float64 `json:"connect_timeout_ms"`
-		ConnIdle       float64 `json:"conn_idle_ms"`
-		MaxAttempts    *int    `json:"max_attempts"`
-		MaxRetryAfter  float64 `json:"max_retry_after_ms"`
-		MayTell        bool    `json:"may_tell"`
-		OpenCap        int     `json:"open_cap"`
-		Parallel       bool    `json:"parallel_tries"`
-		Probes         bool    `json:"probes"`
-		RetryAfter     bool    `json:"retry_after"`
-		Streams        *int    `json:"streams_per_conn"`
+		Cancel         bool     `json:"cancel"`
+		ConnectTimeout float64  `json:"connect_timeout_ms"`
+		ConnIdle       float64  `json:"conn_idle_ms"`
+		MaxAttempts    *float64 `json:"max_attempts"`
+		MaxRetryAfter  float64  `json:"max_retry_after_ms"`
+		MayTell        bool     `json:"may_tell"`
+		OpenCap        int      `json:"open_cap"`
+		Parallel       bool     `json:"parallel_tries"`
+		Probes         bool     `json:"probes"`
+		RetryAfter     bool     `json:"retry_after"`
+		Streams        *int     `json:"streams_per_conn"`
 	} `json:"limits"`
 	Rules struct {
 		AnswerSlack  float64  `json:"answer_slack_ms"`
@@ -121,7 +121,7 @@
 		Parallel: s.Limits.Parallel, Cancel: s.Limits.Cancel, Probes: s.Limits.Probes,
 		Messages: s.Limits.MayTell, RetryAfter: s.Limits.RetryAfter,
 		MaxRetryAfter: s.Limits.MaxRetryAfter, ConnectTimeout: s.Limits.ConnectTimeout, ConnIdle: s.Limits.ConnIdle,
-		MaxAttempts: or(s.Limits.MaxAttempts, 1), Streams: or(s.Limits.Streams, 1), OpenCap: s.Limits.OpenCap,
+		MaxAttempts: int(or(s.Limits.MaxAttempts, 1)), Streams: or(s.Limits.Streams, 1), OpenCap: s.Limits.OpenCap,
 		ByWork: s.ValueBy == "work", MarksRepeat: s.Clients.MarksRetry, WarmKeys: s.Family.WarmKeys,
 		DrainGrace: s.Rules.DrainGrace, ColdFrom: or(s.Rules.ColdFrom, 1), ColdTime: s.Rules.ColdTime,
 		FallMultiple: s.Rules.FallMultiple, FallTime: s.Rules.FallTime,
@@ -178,8 +178,8 @@
 	if r.ColdTime > 0 && (r.FallMultiple == 0 || r.FallTime == 0) {
 		return fmt.Errorf("settings: rules.cold_ms is %v without fall_multiple or fall_ms", r.ColdTime)
 	}
-	if n := or(l.MaxAttempts, 1); n < 1 {
-		return fmt.Errorf("settings: limits.max_attempts is %d: want 1 or more", n)
+	if n := or(l.MaxAttempts, 1); n < 1 || n != math.Trunc(n) || n > math.MaxInt32 {
+		return fmt.Errorf("settings: limits.max_attempts is %v: want a whole number, 1 or more", n)
 	}
 	return nil
 }
