Test new settings at SIGHUP: what is taken, what is turned down whole, what stays open

An open request holds its class and its number of attempts; one that is read under rules which are replaced before the loop takes it brings them along. Counters of dropped classes stay. Rejected: a list of keys that a file must have. It would grow old with the settings, and turn down what ran before. Rejected: restarting the module under the new settings. All it learned would be lost, and open requests with it.

--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
+
+	"cedararch/balance"
 )
 
 // configFile is a copy of the tests' configuration that can be replaced.
@@ -156,3 +161,137 @@
 		t.Errorf("heard %#v", ev)
 	}
 }
+
+// swap is the file with other text in some places.
+func (f *configFile) swap(pairs ...string) string {
+	f.t.Helper()
+	for i := 0; i < len(pairs); i += 2 {
+		if !strings.Contains(f.text, pairs[i]) {
+			f.t.Fatalf("the file has no %s", pairs[i])
+		}
+	}
+	return strings.NewReplacer(pairs...).Replace(f.text)
+}
+
+// A new file's classes hold from then on; a request that is open goes on under the rules that it came under, also
+// where its class is gone.
+func TestReloadTakesSettings(t *testing.T) {
+	started, release := make(chan bool, 2), make(chan bool)
+	failing := func(c net.Conn) bool {
+		started <- true
+		<-release
+		return say(500, "")(c)
+	}
+	one, two := newScript(t, failing, say(200, "ok")), newScript(t, failing, say(200, "ok"))
+	f := newConfigFile(t)
+	cfg := withMgmt(f.load(nil))
+	cfg.Known.Members, cfg.lastCalls = []member{ready("s-1", one.addr), ready("s-2", two.addr)}, 0
+	n := startNode(t, cfg)
+	answers := make(chan int, 2)
+	for _, class := range []string{"read", "pay"} {
+		req := n.request(class)
+		go func() {
+			resp, err := n.client.Do(req)
+			if err != nil {
+				t.Error(err)
+				answers <- 0
+				return
+			}
+			answers <- resp.StatusCode
+		}()
+		next(t, started)
+	}
+	again := func(class, name string) *http.Request {
+		req := n.request(class)
+		req.Header.Set("X-Qos", name)
+		return req
+	}
+	if resp, _ := n.do(again("read", "pay-2")); resp.StatusCode != 400 {
+		t.Errorf("a class that is yet to come: %d", resp.StatusCode)
+	}
+	f.write(f.swap(`"name": "read"`, `"name": "pay-2"`, `"max_attempts": 6`, `"max_attempts": 1.0`,
+		`"name": "pay", "effect": "non_idempotent"`, `"name": "pay", "effect": "read_like"`))
+	n.reloads <- syscall.SIGHUP
+	until(t, "the file is taken", func() bool { return n.figure("config_reloads_total") == "1" })
+	close(release)
+	if a, b := next(t, answers), next(t, answers); a+b != 200+502 { // the read is tried again, the payment may not be
+		t.Errorf("what was open is answered %d and %d", a, b)
+	}
+	for _, c := range []struct {
+		class, name string
+		want        int
+	}{{"read", "pay-2", 200}, {"read", "pay", 200}, {"pay", "pay", 405}, {"read", "read", 400}, {"reserve", "reserve", 200}} {
+		if resp, _ := n.do(again(c.class, c.name)); resp.StatusCode != c.want {
+			t.Errorf("%s as a %s: %d, want %d", c.name, c.class, resp.StatusCode, c.want)
+		}
+	}
+	if got := n.ended3("pay-2") + ", " + n.ended3("read"); got != "1 0 0, 1 0 0" {
+		t.Errorf("counted %s", got)
+	}
+}
+
+// A file that cannot be used changes nothing, not even the discovery that it names.
+func TestReloadTurnsDownTheWholeFile(t *testing.T) {
+	f := newConfigFile(t)
+	s := newScript(t, say(200, "ok"))
+	cfg := withMgmt(f.load(nil))
+	cfg.Known.Members, cfg.lastCalls = []member{ready("s-1", s.addr)}, 0
+	n := startNode(t, cfg)
+	other := newRoster(t)
+	moved := `"discovery": "` + other.addr + `"`
+	bad := []string{"", "{", "null", "[]", "{}", f.text[:len(f.text)/2], strings.TrimSpace(f.text) + "}"}
+	for _, change := range []string{
+		`"hard_limit_ms": 20000=>"hard_limit_ms": 0`, `"hard_limit_ms": 20000=>"hard_limit_ms": -5`,
+		`"hard_limit_ms": 20000=>"hard_limit_ms": "20000"`, `"hard_limit_ms": 20000=>"hard_limit_ms": null`,
+		`"hard_limit_ms": 20000=>"hard_limit_ms": 1e999`, `"hard_limit_ms": 20000, =>`, `"max_attempts": 6=>"max_attempts": 0`,
+		`"max_attempts": 6=>"max_attempts": -1`, `"max_attempts": 6=>"max_attempts": 2.5`,
+		`"max_attempts": 6=>"max_attempts": null`, `"max_attempts": 6=>"max_attempts": "6"`, `"max_attempts": 6,=>`,
+		`"settings"=>"other"`, `"seed"=>"other"`, `"limits": {"cancel"=>"other": {"cancel"`, `"known"=>"other"`,
+		`"probes": true,=>`, `"name": "read"=>"name": ""`, `"name": "read"=>"name": "pay"`, `"effect": "read_like"=>"effect": "x"`,
+	} {
+		from, to, _ := strings.Cut(change, "=>")
+		bad = append(bad, f.swap(from, to, `"discovery": "127.0.0.1:9"`, moved))
+	}
+	for i, text := range bad {
+		f.write(text)
+		n.reloads <- syscall.SIGHUP
+		want := fmt.Sprint(i + 1)
+		until(t, "the file is turned down: "+text[:min(len(text), 80)], func() bool {
+			return n.figure("config_reload_errors_total") == want
+		})
+	}
+	if err := os.Remove(f.path); err != nil {
+		t.Fatal(err)
+	}
+	n.reloads <- syscall.SIGHUP
+	until(t, "a missing file is turned down", func() bool {
+		return n.figure("config_reload_errors_total") == fmt.Sprint(len(bad)+1)
+	})
+	if got := n.figure("config_reloads_total"); got != "0" || len(other.calls) > 0 {
+		t.Errorf("%s files taken, %d calls at the discovery they name", got, len(other.calls))
+	}
+	if resp, _ := n.do(n.request("read")); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
+
+// A request may be read under rules that are replaced before the loop takes it: it keeps them.
+func TestRequestsKeepTheRulesTheyWereReadUnder(t *testing.T) {
+	cfg := testConfig(t)
+	f := &figures{}
+	old := newRules(cfg, f)
+	now := newRules(&Config{classNames: []string{"other"}, classes: map[string]int{"other": 0}, tenantNames: []string{"bolt"},
+		tenants: map[string]int{"bolt": 0}, Balance: balance.Config{Classes: make([]balance.Class, 1), MaxAttempts: 1}}, f)
+	for tenant, want := range []int{1, 0} { // acme is none any more
+		req := balance.Request{Class: 2, Tenant: tenant}
+		now.translate(old, &req)
+		if req.Under != &old.list[2] || req.Attempts != 6 || req.Tenant != want {
+			t.Errorf("tenant %d: %+v", tenant, req)
+		}
+	}
+	req := balance.Request{Class: 2}
+	old.translate(old, &req)
+	if req.Under != nil {
+		t.Error("taken for one of other rules")
+	}
+}
