Know the fleet's capacity before the first pick spends on cold servers

Ruled out: keys being new to cold servers, at 3.8 times the work. Learned sizes and the pace of answers: a fresh sidecar has none. Random first budgets: they are below one send. Lines at fault: in enter, keepHome asks for cold budgets before b.pool is set, which at the first pick of a process is 0, so that each cold server's part of the pace counted as all of it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -333,15 +333,15 @@
 		s.known = b.fresh(s)
 		fresh = fresh || s.known
 	}
+	if !repeat && pool > 0 {
+		b.pool = pool // before any cold budget goes by it
+	}
 	if !repeat {
 		b.keepHome(r)
 	}
 	for _, s := range b.servers {
 		total += s.weight
 	}
-	if !repeat && total > 0 {
-		b.pool = pool
-	}
 	held, shares := 1.0, 0.0
 	for _, s := range b.servers {
 		s.known = s.known || !fresh // without any report, the own requests in flight are all there is
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -456,3 +456,30 @@
 		t.Errorf("cold servers got %.2f of the requests: they can do %.2f", got, part)
 	}
 }
+
+// A herd that starts beside cold servers knows nothing of the fleet's pace yet. The first request of each must not
+// bring it the budget of the whole fleet for them: together they would push them over.
+func TestAHerdSparesColdServersFromItsFirstRequest(t *testing.T) {
+	servers := zoned(60)
+	now := 100000.0
+	for i := range 20 {
+		servers[i].StartedAt = now - 1000
+	}
+	toCold := 0
+	for i := range 300 {
+		b := New(vast(i, 300))
+		b.Start(now)
+		b.Handle(now, ServerList{Kind: ListCached, Servers: servers})
+		actions, err := b.Handle(now+50, Request{ID: 1, Class: safeClass, Key: uint64(1 + i%200), Remaining: 1500})
+		s, ok := sentTo(actions)
+		if err != nil || !ok {
+			t.Fatalf("not sent: %v, %v", actions, err)
+		}
+		if b.cold(b.byID[s]) {
+			toCold++
+		}
+	}
+	if toCold > 10 { // 300 / 60 for each, were they warm
+		t.Errorf("%d of the first 300 requests went to 20 cold servers", toCold)
+	}
+}
