Stream long bodies both ways, and send again only what is kept of them

Design: an answer or body of up to 64 KiB is read whole and can be sent again, as before. Of a longer one the first 64 KiB are read under the request's time, then the rest goes on as it comes, through one buffer of 32 KiB, with only a stall of 5 s ending it. A long body is kept for another attempt up to 1 MiB, out of an eighth of the memory limit for all; once it is not, the module is told (Outcome.Spent) and sends no more. The module's clock for a request begins with the last byte of its body (Uploaded); an answer that began (Started) is no load of its server any more. A broken answer cuts the client's connection, with a reset where the end of it would look like the answer's. Rejected: spooling bodies to memory or $TMPDIR, which counts as memory: 32 MB each, more at once than there is. Rejected: net/http's reading of chunks. It waits until a buffer is full, so that a slow server's bytes were held back. Found beside it: an answer that ends with its connection was held to be unframed on HTTP/1.1, as net/http takes the header that says so away.

--- a/balance/api.go
+++ b/balance/api.go
@@ -179,6 +179,7 @@
 	Remaining     float64 // time until the client gives this try up
 	Repeat        bool    // the client says that it tried before
 	Write         bool
+	Uploading     bool // its body is still coming: Remaining counts from Uploaded on
 
 	// A request may be taken while the settings change. Then these are the rules that it came under.
 	Under    *Class // in place of Class, which the settings have no more; nil: as they have it
@@ -211,9 +212,16 @@
 	Result   Result
 	Took     float64
 	Finished bool      // the request needs no answer (any more)
+	Spent    bool      // what has been sent is not kept: there can be no other attempt
 	Report   []float32 // load report, empty if none; not kept
 }
 
+// Uploaded says that the last byte of a long body has gone to the server: its request's time begins.
+type Uploaded struct {
+	Request RequestID
+	Spent   bool // as in Outcome
+}
+
 // Started says that a streamed answer has begun; the client owns the attempt now.
 type Started struct {
 	Request RequestID
@@ -245,6 +253,7 @@
 func (ServerList) event()  {}
 func (Request) event()     {}
 func (Outcome) event()     {}
+func (Uploaded) event()    {}
 func (Started) event()     {}
 func (HangUp) event()      {}
 func (Timer) event()       {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -260,7 +260,7 @@
 // hopeless: nothing more can be sent for the request, or it is no use to wait for a server.
 func (b *Balancer) hopeless(r *request) bool {
 	tries, cuts := len(r.tries), r.cuts()
-	if tries >= r.Attempts || tries-cuts > maxRepeats || cuts > maxCuts {
+	if r.spent || tries >= r.Attempts || tries-cuts > maxRepeats || cuts > maxCuts {
 		return true
 	}
 	for _, a := range r.tries {
@@ -616,7 +616,7 @@
 // markOverdue counts an attempt far beyond its class's answers as an error: else hangs show late.
 func (b *Balancer) markOverdue(r *request) {
 	for i := range r.tries {
-		if a := &r.tries[i]; a.live && !a.overdue && b.now >= a.sent+b.overdueAfter(r) {
+		if a := &r.tries[i]; a.burden && !a.overdue && b.now >= a.sent+b.overdueAfter(r) {
 			a.overdue = true
 			b.lose(r, a, 1)
 			b.fault(a.s, false)
@@ -643,7 +643,7 @@
 
 // canFollow: another server may have the request next, and the time to answer within the aim.
 func (b *Balancer) canFollow(r *request) bool {
-	spent := len(r.tries) >= r.Attempts || len(r.tries)-r.cuts() > maxRepeats
+	spent := r.spent || len(r.tries) >= r.Attempts || len(r.tries)-r.cuts() > maxRepeats
 	if spent || !b.cfg.Cancel || r.live > 1 || r.class.Effect == Unsafe || b.pastHope(r) {
 		return false
 	}
@@ -757,9 +757,9 @@
 		next = min(next, b.now+max(b.cfg.Quantum, r.class.Aim/20))
 	}
 	for i := range r.tries {
-		if a := &r.tries[i]; a.live && !a.overdue {
+		if a := &r.tries[i]; a.burden && !a.overdue {
 			next = min(next, a.sent+b.overdueAfter(r))
-		} else if a.live && !a.lost && !b.pastHope(r) {
+		} else if a.live && a.overdue && !a.lost && !b.pastHope(r) {
 			next = min(next, b.now+max(b.cfg.Quantum, r.class.Aim/20))
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -161,6 +161,8 @@
 	clean   bool // proved never to have run
 	cut     bool // its connection was reset
 	overdue bool
+	burden  bool    // it counts as load
+	judged  bool    // its answer has begun, and been judged
 	lost    bool    // given up, as the server answered what was sent later
 	held    float64 // what the server held before, by a fresh report; else -1
 }
@@ -179,6 +181,7 @@
 	live      int
 	done      bool
 	stream    bool
+	spent     bool      // its bytes are not kept: no further attempt
 	wakeAt    float64   // when its next timer comes
 	probed    []*server // asked before the first send
 	holdUntil float64
@@ -290,6 +293,8 @@
 		if r := b.reqs[ev.Request]; r != nil {
 			b.close(r)
 		}
+	case Uploaded:
+		b.onUploaded(ev)
 	case Started:
 		b.onStarted(ev)
 	}
@@ -323,7 +328,10 @@
 	if err != nil {
 		return err
 	}
-	b.judge(r, a, ev)
+	r.spent = r.spent || ev.Spent
+	if !a.judged || ev.Result != OK {
+		b.judge(r, a, ev)
+	}
 	if r.done || ev.Finished || r.stream {
 		b.close(r)
 	}
@@ -363,13 +371,57 @@
 	}
 }
 
+// onUploaded begins the time of a request whose body was long. Only now is it work for its server.
+func (b *Balancer) onUploaded(ev Uploaded) {
+	r := b.reqs[ev.Request]
+	if r == nil || r.done || !r.Uploading {
+		return
+	}
+	r.spent = ev.Spent
+	r.Uploading, r.arrived, r.deadline = false, b.now, b.now+r.Remaining
+	for i := range r.tries {
+		if a := &r.tries[i]; a.live {
+			a.sent = b.now
+			b.burden(r, a)
+		}
+	}
+	b.step(r)
+}
+
 func (b *Balancer) onStarted(ev Started) {
-	if r := b.reqs[ev.Request]; r != nil && !r.done && !r.stream {
-		r.stream = true // the client owns it now: no deadline, no repeat
-		b.cancelOthers(r, ev.Attempt)
+	r := b.reqs[ev.Request]
+	if r == nil || r.done || r.stream || ev.Attempt >= len(r.tries) {
+		return
+	}
+	r.stream = true // the client owns it now: no deadline, no repeat
+	b.cancelOthers(r, ev.Attempt)
+	if a := &r.tries[ev.Attempt]; a.live { // its answer is there; what is left is no load but transfer
+		b.unburden(r, a)
+		b.judge(r, a, Outcome{Result: OK, Took: ev.Took})
+		a.judged = true
+	}
+}
+
+// burden counts an attempt as load of its server, as one over its aim.
+func (b *Balancer) burden(r *request, a *attempt) {
+	if !a.burden {
+		a.burden = true
+		a.s.load += 1 / r.class.Aim
 	}
 }
 
+// unburden takes it back, wherever it is counted.
+func (b *Balancer) unburden(r *request, a *attempt) {
+	if !a.burden {
+		return
+	}
+	if a.overdue {
+		b.lose(r, a, -1)
+	}
+	a.burden = false
+	a.s.load -= 1 / r.class.Aim
+}
+
 func (b *Balancer) cancelOthers(r *request, keep int) {
 	for i := range r.tries {
 		if r.tries[i].live && i != keep && b.cfg.Cancel {
@@ -473,6 +525,9 @@
 	if r.Attempts == 0 {
 		r.Attempts = b.cfg.MaxAttempts
 	}
+	if r.Uploading {
+		r.arrived, r.deadline = math.Inf(1), math.Inf(1)
+	}
 	b.reqs[ev.ID] = r
 	r.stats.asked++
 	r.tenant.asked++
@@ -495,10 +550,7 @@
 	a.live, a.clean = false, ev.Result.NeverRan()
 	a.cut = ev.Result == Reset
 	a.s.inFlight--
-	if a.overdue {
-		b.lose(r, a, -1)
-	}
-	a.s.load -= 1 / r.class.Aim
+	b.unburden(r, a)
 	r.live--
 	b.note(a.s, ev.Report)
 	b.unconnected -= b.unconnected / (recent / 2)
@@ -533,8 +585,10 @@
 	s.inFlight++
 	s.usedAt = b.now
 	s.sentSince++
-	s.load += 1 / r.class.Aim
 	r.live++
 	r.tries = append(r.tries, attempt{s: s, sent: b.now, live: true, held: held})
+	if !r.Uploading {
+		b.burden(r, &r.tries[len(r.tries)-1])
+	}
 	b.emit(Action{Kind: Send, Request: r.ID, Server: s.ID})
 }
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,6 +40,8 @@
 	owner   *clients
 	framing framing
 	served  int64 // requests that reached the handler; of the serving goroutine
+	opened  time.Time
+	busy    atomic.Bool // a request is taken of which more is to come: it is no slow one
 
 	// Guarded by owner.mu.
 	queue  *queues.List // nil once it is to be closed
@@ -50,7 +53,7 @@
 // add takes in a new connection, for which others may have to go. Where all have open requests, it is the new
 // one that is closed.
 func (cs *clients) add(c *net.TCPConn) *client {
-	cl := &client{TCPConn: c, owner: cs}
+	cl := &client{TCPConn: c, owner: cs, opened: time.Now()}
 	cs.mu.Lock()
 	cs.open++
 	full := cs.open > cs.most
@@ -147,7 +150,7 @@
 	for _, queue := range []*queues.List{&cs.silent, &cs.idle, &cs.active} {
 		for at := queue.Front(); at != nil; at = at.Next() {
 			c := at.Value.(*client)
-			if began, partial := c.framing.partial(); partial && (slowest == nil || began.Before(first)) {
+			if began, partial := c.framing.partial(); partial && !c.busy.Load() && (slowest == nil || began.Before(first)) {
 				slowest, first = c, began
 			}
 		}
@@ -225,6 +228,15 @@
 // next counts a request that reached the handler.
 func (c *client) next() { c.served++ }
 
+// due is when the open request has to be whole by the server's own limit.
+func (c *client) due() time.Time {
+	began := c.opened
+	if c.served > 1 {
+		began, _ = c.framing.partial()
+	}
+	return began.Add(readTimeout)
+}
+
 // surplus reports whether bytes came behind the open request. An application sends one request at a time: its
 // length is wrong, or it hides another.
 func (c *client) surplus() bool {
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -10,7 +10,6 @@
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -23,9 +22,9 @@
 	// What a client that stalls is owed is an error or a close within 3 s of connecting. A request that is
 	// written in one piece takes a moment; a connection may be silent for 2 s before its first.
 	headTimeout = 2200 * time.Millisecond // for the head of a request
-	readTimeout = 2500 * time.Millisecond // for all of it
+	readTimeout = 2900 * time.Millisecond // for all of it, unless it is long
 	// writeTimeout is for an answer: a client that does not read holds it, and a descriptor.
-	writeTimeout = 2 * time.Second
+	writeTimeout = 10 * time.Second
 	// keepAlive is how long a connection may be idle while there are few: clients that ask once and stay hold their
 	// descriptors, of which the application has a number too.
 	keepAlive   = 5 * time.Second
@@ -48,7 +47,8 @@
 	status int
 	header http.Header
 	body   []byte
-	last   bool // the connection ends with it
+	last   bool      // the connection ends with it
+	rest   *download // of a long answer, which has no body of its own
 }
 
 // front is the side that the application talks to.
@@ -57,6 +57,7 @@
 	post    func(any)
 	done    <-chan struct{} // closed when nothing answers any more
 	clients *clients
+	kept    budget      // for long bodies
 	ready   atomic.Bool // there are servers to send to
 	ending  atomic.Bool // the sidecar shuts down
 }
@@ -129,21 +130,30 @@
 }
 
 func (f *front) api(w http.ResponseWriter, r *http.Request, cl *client) {
-	c, err := f.parse(w, r)
-	if err == nil && cl.surplus() {
+	c, err := f.parse(w, r, cl)
+	if err == nil && c.message.upload == nil && cl.surplus() {
 		err = malformed("more than the request that was announced")
 	}
 	if err != nil {
 		turnAway(w, err)
 		return
 	}
+	up := c.message.upload
+	if up != nil {
+		defer cl.busy.Store(false)
+		defer up.end()
+	}
 	f.post(arrived{c})
 	select {
 	case a := <-c.answers:
 		// Decided when the answer is there, not when the request came: many wait when the end comes.
-		if a.last || f.ending.Load() || cl.framing.blind || cl.surplus() || cl.owner.crowded() {
+		if a.last || f.ending.Load() || cl.framing.blind || up != nil && !up.whole.Load() || cl.surplus() || cl.owner.crowded() {
 			w.Header().Set("Connection", "close")
 		}
+		if a.rest != nil {
+			a.rest.relay(w, r, a)
+			return
+		}
 		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 		a.write(w)
 	case <-r.Context().Done():
@@ -166,7 +176,7 @@
 }
 
 // parse checks a request and turns it into a call.
-func (f *front) parse(w http.ResponseWriter, r *http.Request) (*call, error) {
+func (f *front) parse(w http.ResponseWriter, r *http.Request, cl *client) (*call, error) {
 	now := f.rules.Load()
 	c := &call{received: time.Now(), answers: make(chan *answer, 1), trace: r.Header.Get("X-Trace-Id"), rules: now}
 	for _, name := range once {
@@ -190,21 +200,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.ContentLength > maxBody {
-		return nil, errLongBody
+	if r.Method == http.MethodGet && r.ContentLength > 0 {
+		return nil, malformed("a body where none belongs")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, long, err := f.readBody(w, r, cl)
 	if err != nil {
-		var long *http.MaxBytesError
-		if errors.As(err, &long) {
-			return nil, errLongBody
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, &badRequest{http.StatusRequestTimeout, "the body does not come"}
-		}
-		return nil, malformed("body: %v", err)
+		return nil, err
 	}
-	if r.Method == http.MethodGet && len(body) > 0 {
+	if r.Method == http.MethodGet && (len(body) > 0 || long != nil) {
 		return nil, malformed("a body where none belongs")
 	}
 	hint, _ := strconv.ParseFloat(r.Header.Get("X-Size-Hint"), 64)
@@ -213,10 +216,10 @@
 	}
 	c.request = balance.Request{
 		Class: class, Tenant: tenant, WorkHint: hint / 1000, Key: parseKey(r.Header.Get("X-Object")),
-		Remaining: left, Repeat: r.Header.Get("X-Second-Try") == "1",
+		Remaining: left, Repeat: r.Header.Get("X-Second-Try") == "1", Uploading: long != nil,
 	}
 	dropHopHeaders(r.Header)
-	c.message = &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body}
+	c.message = &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, body: body, upload: long}
 	return c, nil
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -19,6 +20,9 @@
 // overdue is how long after its deadline a request that the module forgot is failed.
 const overdue = 10 // ms
 
+// longestUpload bounds an attempt whose time has not begun.
+const longestUpload = 3600e3 // ms
+
 // Events for the loop, besides balance's own.
 type (
 	arrived struct{ call *call }
@@ -26,7 +30,13 @@
 	ended   struct {
 		attempt *attempt
 		result  result
-		took    float64
+		at      time.Time
+	}
+	uploaded struct{ attempt *attempt } // the last byte of a long body has gone to the server
+	begun    struct {                   // a long answer goes on to the client
+		attempt *attempt
+		answer  *answer
+		at      time.Time
 	}
 	probed struct {
 		endpoint *endpoint
@@ -82,14 +92,16 @@
 
 // request is a client's request until it is answered and nothing is out for it.
 type request struct {
-	id       balance.RequestID
-	call     *call
-	deadline float64
-	attempts []*attempt
-	most     int // attempts
-	lane     *lane
-	live     int
-	done     bool
+	id        balance.RequestID
+	call      *call
+	deadline  float64
+	attempts  []*attempt
+	most      int // attempts
+	lane      *lane
+	live      int
+	done      bool
+	uploading bool // of a long body more is to come: its time has not begun
+	streaming bool // a long answer is on its way: it is done, but has not ended
 }
 
 func newLoop(ctx context.Context, cfg *Config, log *slog.Logger) *loop {
@@ -204,8 +216,19 @@
 			l.finish(r, nil)
 			l.tell(balance.HangUp{Request: r.id})
 		}
+		select { // a long answer may have come when its client had gone
+		case a := <-ev.call.answers:
+			if a.rest != nil {
+				a.rest.end(errClient)
+			}
+		default:
+		}
 	case ended:
 		l.end(ev)
+	case uploaded:
+		l.uploaded(ev.attempt)
+	case begun:
+		l.stream(ev)
 	case probed:
 		l.tell(balance.ProbeResult{
 			Server: ev.endpoint.id, Result: ev.result.outcome, Took: ev.took, Report: ev.result.report,
@@ -310,12 +333,43 @@
 	c.request.ID = r.id
 	l.rules.translate(c.rules, &c.request)
 	c.request.Remaining = max(0, c.request.Remaining-(l.now-l.clock(c.received)))
-	r.deadline = l.now + c.request.Remaining
 	l.requests[r.id], l.byCall[c] = r, r
-	heap.Push(&l.timers, timer{at: r.deadline + overdue, request: r})
+	r.uploading = c.request.Uploading
+	if !r.uploading {
+		l.limit(r)
+	}
 	l.tell(c.request)
 }
 
+// limit begins the time of a request, which counts from its last byte.
+func (l *loop) limit(r *request) {
+	r.deadline = l.now + r.call.request.Remaining
+	heap.Push(&l.timers, timer{at: r.deadline + overdue, request: r})
+}
+
+// uploaded notes that the last byte of a long body has gone out.
+func (l *loop) uploaded(at *attempt) {
+	at.sent = l.now
+	if r := l.requests[at.id]; r != nil && r.uploading && !r.done {
+		r.uploading = false
+		l.limit(r)
+		l.tell(balance.Uploaded{Request: r.id, Spent: at.message.upload.spent.Load()})
+	}
+}
+
+// stream gives a request a long answer, which ends with its attempt.
+func (l *loop) stream(ev begun) {
+	at := ev.attempt
+	r := l.requests[at.id]
+	if r.done {
+		ev.answer.rest.end(errClient)
+		return
+	}
+	at.started = max(l.clock(ev.at)-at.sent, 1e-3)
+	l.finish(r, ev.answer)
+	l.tell(balance.Started{Request: r.id, Attempt: at.number, Server: at.endpoint.id, Took: at.started})
+}
+
 // finish gives a request its final answer, or none where the client is gone; the first counts. This is the only
 // place from which a client is answered.
 func (l *loop) finish(r *request, a *answer) {
@@ -323,13 +377,17 @@
 		return
 	}
 	r.done = true
-	l.figures.pending.Add(-1)
+	if r.streaming = a != nil && a.rest != nil; !r.streaming {
+		l.figures.pending.Add(-1)
+	}
 	delete(l.byCall, r.call)
 	for _, at := range r.attempts {
 		at.answered.Store(true)
 	}
 	if a != nil {
-		r.lane.count(a.status)
+		if !r.streaming {
+			r.lane.count(a.status)
+		}
 		r.call.answers <- a
 	}
 	l.forget(r)
@@ -362,11 +420,18 @@
 		return
 	}
 	cut := r.deadline
+	if r.uploading {
+		cut = l.now + longestUpload
+	}
 	if a.At > 0 {
 		cut = min(cut, a.At)
 	}
 	at := &attempt{
 		id: r.id, number: len(r.attempts), endpoint: e, message: r.call.message, sent: l.now, cut: l.time(cut),
+		left: millis(r.call.request.Remaining), tell: l.post, over: l.ctx.Done(),
+	}
+	if !r.uploading {
+		at.left = millis(max(0, r.deadline-l.now))
 	}
 	at.ctx, at.cancel = context.WithCancel(l.ctx)
 	r.attempts = append(r.attempts, at)
@@ -379,7 +444,7 @@
 	go func() {
 		defer l.running.Done()
 		res := l.upstream.try(at)
-		l.post(ended{at, res, l.clock(time.Now()) - at.sent})
+		l.post(ended{at, res, time.Now()})
 	}()
 }
 
@@ -389,13 +454,29 @@
 	at.cancel()
 	r := l.requests[at.id]
 	r.live--
+	took := at.started
+	if took > 0 {
+		l.endStream(r, ev.result.outcome)
+	} else {
+		took = l.clock(ev.at) - at.sent
+	}
 	if ev.result.outcome == balance.OK {
 		l.finish(r, ev.result.answer)
 	}
+	if ev.result.unsent != nil { // a request that never was one
+		var bad *badRequest
+		errors.As(bodyError(ev.result.unsent), &bad)
+		a := plain(bad.status, bad.text)
+		a.last = true
+		l.finish(r, a)
+	}
 	out := balance.Outcome{
-		Request: r.id, Attempt: at.number, Result: ev.result.outcome, Took: ev.took,
+		Request: r.id, Attempt: at.number, Result: ev.result.outcome, Took: took,
 		Finished: r.done, Report: ev.result.report,
 	}
+	if up := at.message.upload; up != nil {
+		out.Spent = up.spent.Load()
+	}
 	if at.endpoint != nil {
 		out.Server = at.endpoint.id
 	}
@@ -403,6 +484,22 @@
 	l.forget(r)
 }
 
+// endStream counts a request whose long answer has ended.
+func (l *loop) endStream(r *request, outcome balance.Result) {
+	if !r.streaming {
+		return
+	}
+	r.streaming = false
+	l.figures.pending.Add(-1)
+	switch outcome {
+	case balance.OK:
+		r.lane.count(http.StatusOK)
+	case balance.Cancelled: // its client is gone
+	default:
+		r.lane.count(http.StatusBadGateway)
+	}
+}
+
 func (l *loop) probe(id balance.ServerID) {
 	e := l.byID[id]
 	if e == nil || e.closed.Load() {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -97,6 +98,7 @@
 	share(cfg, 1, pool, clients)
 	l.front = &front{post: l.post, done: inner.Done(), clients: clients}
 	l.front.rules.Store(l.rules)
+	l.front.kept.left.Store(keptBytes(cfg.Limits))
 
 	defer pool.closeAll() // after the last attempt has ended
 	var tasks sync.WaitGroup
@@ -139,6 +141,14 @@
 	return l.front.end(limit, server, door, cfg.lastCalls)
 }
 
+// keptBytes is the memory for bytes of long bodies that are kept for another attempt.
+func keptBytes(l Limits) int64 {
+	if l.MemoryMB <= 0 {
+		return math.MaxInt32
+	}
+	return int64(l.MemoryMB * (1 << 20) / keptMemory)
+}
+
 // share holds the processes that run of this sidecar to its limits together.
 func share(cfg *Config, processes int, pool *pool, clients *clients) {
 	sockets := cfg.Limits.Sockets/processes - spareSockets
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -46,7 +46,11 @@
 	cut      time.Time // when it is given up
 	ctx      context.Context
 	cancel   context.CancelFunc
-	answered atomic.Bool // the request has its final answer: nothing more may be sent for it
+	answered atomic.Bool     // the request has its final answer: nothing more may be sent for it
+	left     time.Duration   // from the last byte of a long body on
+	tell     func(any)       // posts to the loop
+	over     <-chan struct{} // closed when the loop ends
+	started  float64         // of the loop: what it took until a long answer began; 0: none has
 }
 
 // message is the part of a client's request that goes on to a server.
@@ -54,6 +58,7 @@
 	method, uri, host string
 	header            http.Header
 	body              []byte
+	upload            *upload // in place of a body, where that is long
 }
 
 // result is how an attempt or a probe ended.
@@ -61,12 +66,13 @@
 	outcome balance.Result
 	answer  *answer // of an OK
 	report  []float32
+	unsent  error // why the client's body could not be read to its end
 }
 
 // hopHeaders concern one connection only and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
+	"Transfer-Encoding", "Upgrade", "Expect",
 }
 
 func dropHopHeaders(h http.Header) {
@@ -117,13 +123,16 @@
 
 // exchange writes the request and reads the answer. Cancelling an attempt ends its connection.
 func (u *upstream) exchange(a *attempt, c *conn) (r result, reusable bool) {
+	c.SetDeadline(a.cut)
+	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() { reusable = stop() && reusable }()
+	if a.message.upload != nil {
+		return u.exchangeLong(a, c)
+	}
 	request, err := a.message.encode(a.cut)
 	if err != nil {
 		return result{outcome: balance.Moot}, false
 	}
-	c.SetDeadline(a.cut)
-	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer func() { reusable = stop() && reusable }()
 
 	// One write, so that what the kernel took tells whether the last byte went out.
 	if n, err := c.Write(request); n < len(request) {
@@ -137,13 +146,77 @@
 	if err != nil {
 		return result{outcome: a.broken(err)}, false
 	}
+	return u.conclude(a, c, resp, body)
+}
+
+// exchangeLong writes a request with a long body as it comes, while the answer may come already.
+func (u *upstream) exchangeLong(a *attempt, c *conn) (r result, reusable bool) {
+	s := &sending{body: &uploadReader{upload: a.message.upload}, done: make(chan struct{})}
+	defer s.body.stopped.Store(true)
+	go s.run(c, a.message.request(a.left, s.body, s.body.length), func() {
+		u.figures.attempts.Add(1)
+		if cut := time.Now().Add(a.left); cut.Before(a.cut) {
+			c.SetReadDeadline(cut)
+		}
+		if a.ctx.Err() != nil { // whose own deadline was just taken back
+			c.SetReadDeadline(time.Unix(1, 0))
+		}
+		a.tell(uploaded{a})
+	})
+	resp, body, err := c.in.next(a.message.method)
+	if err == nil {
+		r, reusable = u.conclude(a, c, resp, body)
+		return r, reusable && s.whole.Load()
+	}
+	if s.whole.Load() {
+		return result{outcome: a.broken(err)}, false
+	}
+	if a.ctx.Err() != nil {
+		return result{outcome: balance.Cancelled}, false
+	}
+	c.SetDeadline(time.Unix(1, 0)) // it takes no more, if it ever did
+	select {
+	case <-s.done:
+		if client := (clientError{}); errors.As(s.err, &client) {
+			return result{outcome: balance.Moot, unsent: client}, false
+		}
+	case <-time.After(answerGrace): // it waits for the client, and goes when more comes
+	}
+	return result{outcome: balance.ConnectFailed}, false
+}
+
+// conclude makes a result of an answer. A long one goes on to the client from here, before the attempt ends.
+func (u *upstream) conclude(a *attempt, c *conn, resp *http.Response, body []byte) (r result, reusable bool) {
 	r = result{outcome: outcomeOf(resp), report: reportOf(resp, u.fields)}
-	if r.outcome == balance.OK {
-		resp.Header.Del(loadHeader)
-		dropHopHeaders(resp.Header)
-		r.answer = &answer{status: http.StatusOK, header: resp.Header, body: body}
+	long := len(body) > maxBody
+	if r.outcome != balance.OK {
+		return r, !long && !resp.Close && c.in.Buffered() == 0
 	}
-	return r, !resp.Close && c.in.Buffered() == 0
+	resp.Header.Del(loadHeader)
+	dropHopHeaders(resp.Header)
+	r.answer = &answer{status: http.StatusOK, header: resp.Header, body: body}
+	if !long {
+		return r, !resp.Close && c.in.Buffered() == 0
+	}
+	d := &download{
+		first: body, body: resp.Body, conn: c, length: resp.ContentLength, ctx: a.ctx, cancel: a.cancel, ended: make(chan error, 1),
+	}
+	r.answer.body, r.answer.rest = nil, d
+	a.tell(begun{a, r.answer, time.Now()})
+	r.answer = nil
+	var err error
+	select {
+	case err = <-d.ended:
+	case <-a.over: // nobody may ever read it
+		err = errClient
+	}
+	switch {
+	case errors.Is(err, errClient) || a.ctx.Err() != nil:
+		r.outcome = balance.Cancelled
+	case err != nil:
+		r.outcome = balance.Reset
+	}
+	return r, err == nil && !resp.Close && c.in.Buffered() == 0
 }
 
 func interrupted(a *attempt, err error) bool {
@@ -175,26 +248,35 @@
 
 // encode writes the message as it goes to a server, which is told the time that remains until cut.
 func (m *message) encode(cut time.Time) ([]byte, error) {
-	req := http.Request{
+	var body io.ReadCloser
+	if len(m.body) > 0 {
+		body = io.NopCloser(bytes.NewReader(m.body))
+	}
+	var out bytes.Buffer
+	if err := m.request(time.Until(cut), body, int64(len(m.body))).Write(&out); err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// request is the message as it goes to a server, which is told the time that is left.
+func (m *message) request(left time.Duration, body io.ReadCloser, length int64) *http.Request {
+	req := &http.Request{
 		Method: m.method,
 		URL:    &url.URL{Opaque: m.uri}, // goes on as the client wrote it
 		Header: m.header.Clone(),
 		Host:   m.host,
 	}
-	req.Header.Set(expiryHeader, strconv.FormatInt(max(1, time.Until(cut).Microseconds()), 10)+"u")
+	req.Header.Set(expiryHeader, strconv.FormatInt(max(1, left.Microseconds()), 10)+"u")
 	if req.Header.Get("User-Agent") == "" {
 		req.Header.Set("User-Agent", "") // else Write adds one of its own
 	}
-	if len(m.body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
+	if body != nil {
+		req.Body, req.ContentLength = body, length
 	} else if m.method != http.MethodGet {
 		req.Body = http.NoBody
 	}
-	var out bytes.Buffer
-	if err := req.Write(&out); err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
-	}
-	return out.Bytes(), nil
+	return req
 }
 
 // ask probes an endpoint.
