Count a request's time from its last byte, not from its head

Ruled out: clients in a hurry, as the bodies of these came slowly and the stated time was whole. Lines at fault: parse noted the time of arrival before it read the body, and the loop took the difference off.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -37,7 +37,7 @@
 	trace    string          // what the client calls it
 	request  balance.Request // without ID; Remaining counts from received
 	message  *message
-	received time.Time
+	received time.Time    // its last byte; of a long body, when the first part had come
 	answers  chan *answer // takes the one final answer
 	rules    *rules       // under which it was read
 }
@@ -178,7 +178,7 @@
 // parse checks a request and turns it into a call.
 func (f *front) parse(w http.ResponseWriter, r *http.Request, cl *client) (*call, error) {
 	now := f.rules.Load()
-	c := &call{received: time.Now(), answers: make(chan *answer, 1), trace: r.Header.Get("X-Trace-Id"), rules: now}
+	c := &call{answers: make(chan *answer, 1), trace: r.Header.Get("X-Trace-Id"), rules: now}
 	for _, name := range once {
 		if len(r.Header[name]) > 1 {
 			return nil, malformed("%s more than once", name)
@@ -210,6 +210,7 @@
 	if r.Method == http.MethodGet && (len(body) > 0 || long != nil) {
 		return nil, malformed("a body where none belongs")
 	}
+	c.received = time.Now()
 	hint, _ := strconv.ParseFloat(r.Header.Get("X-Size-Hint"), 64)
 	if !(hint > 0) || math.IsInf(hint, 0) {
 		hint = 0
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -262,3 +262,20 @@
 		t.Errorf("48 KiB more move it to %v", got)
 	}
 }
+
+// The time of a request counts from its last byte: a body that comes slowly does not use it up.
+func TestSlowBodiesKeepTheirTime(t *testing.T) {
+	s := newScript(t, say(200, "taken"))
+	n := startNode(t, testConfig(t, ready("s-1", s.addr)))
+	c := n.dial()
+	text := strings.Replace(n.raw("pay", "Content-Length: 4"), "15000m", "300m", 1)
+	n.say(c, text+"ab")
+	time.Sleep(350 * time.Millisecond) // longer than the client waits for the answer
+	n.say(c, "cd")
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%v %v", resp, err)
+	}
+	if left, err := parseExpiry(requestsOf(s)[0].Header.Get(expiryHeader), 1e6); err != nil || left < 200 {
+		t.Errorf("it went on with %v ms, %v", left, err)
+	}
+}
