Measure how long answers take per held request from the first answers on

Ruled out: shedding (11 refusals), servers that rest (none then), cold ones (none). Lines at fault: time() moved the mean by a fiftieth from its guess, a third of the longest aim, so that the guess outlived dozens of answers.

--- a/balance/change.go
+++ b/balance/change.go
@@ -73,14 +73,14 @@
 
 // Memory is what a balancer has learned, in a form that another process can take over. Times are Unix milliseconds.
 type Memory struct {
-	Started, AnsweredAt, AnswersAt, Admitted    float64
-	Quickest, Slowness, SlowN, LateShare        float64
-	Answers, Latest, Unconnected, PerHeld, Busy float64
-	Learned, Drift, Steady                      float64
-	Kinds, Zones                                map[int]float64 // logarithms of sizes
-	Classes                                     []ClassMemory
-	Tenants                                     []float64 // requests of each
-	Servers                                     []ServerMemory
+	Started, AnsweredAt, AnswersAt, Admitted           float64
+	Quickest, Slowness, SlowN, LateShare               float64
+	Answers, Latest, Unconnected, PerHeld, HeldN, Busy float64
+	Learned, Drift, Steady                             float64
+	Kinds, Zones                                       map[int]float64 // logarithms of sizes
+	Classes                                            []ClassMemory
+	Tenants                                            []float64 // requests of each
+	Servers                                            []ServerMemory
 }
 
 // ClassMemory is what is known of a class.
@@ -106,7 +106,7 @@
 	m := Memory{
 		Started: b.started, AnsweredAt: b.answeredAt, AnswersAt: b.answersAt, Admitted: b.admitted,
 		Quickest: b.quickest, Slowness: b.slowness, SlowN: b.slowN, LateShare: b.lateShare,
-		Answers: b.answers, Latest: b.latest, Unconnected: b.unconnected, PerHeld: b.perHeld, Busy: b.busy,
+		Answers: b.answers, Latest: b.latest, Unconnected: b.unconnected, PerHeld: b.perHeld, HeldN: b.heldN, Busy: b.busy,
 		Learned: b.learned, Drift: b.drift, Steady: b.steady,
 		Kinds: map[int]float64{}, Zones: map[int]float64{},
 	}
@@ -150,6 +150,7 @@
 	b.slowN, b.lateShare = figure(m.SlowN, 0, recent), figure(m.LateShare, 0, 1)
 	b.answers, b.latest = figure(m.Answers, 0, 1e9), figure(m.Latest, 0, 1e9)
 	b.unconnected, b.perHeld = figure(m.Unconnected, 0, 1), figure(m.PerHeld, b.perHeld, 1e9)
+	b.heldN = max(1, figure(m.HeldN, 1, recent))
 	b.busy, b.learned = figure(m.Busy, b.busy, 1), figure(m.Learned, 0, 1e12)
 	b.steady = figure(m.Steady, 0, maxShed)
 	if math.Abs(m.Drift) <= 2 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,6 +38,7 @@
 	classes []*classStats
 	busy    float64  // recent part of probed servers that held anything
 	perHeld float64  // time of an answer for each request its server held, itself included
+	heldN   float64  // answers that it is the mean of, and the guess at the start as one
 	tenants []*tally // the last is for requests without a tenant
 
 	admitted                  float64 // when the last request came
@@ -260,7 +261,7 @@
 		kinds: map[int]*size{}, zones: map[int]*zone{}, longestAim: 1, quickest: startAim, slowness: startAim, busy: 1, level: 1,
 	}
 	b.govern(cfg, nil, nil)
-	b.perHeld = startAim * b.longestAim
+	b.perHeld, b.heldN = startAim*b.longestAim, 1
 	return b
 }
 
@@ -471,7 +472,8 @@
 // request that the server held.
 func (b *Balancer) time(a *attempt, took, aim float64) {
 	if a.held >= 0 {
-		b.perHeld += (took/(a.held+1) - b.perHeld) / recent
+		b.heldN = min(b.heldN+1, recent)
+		b.perHeld += (took/(a.held+1) - b.perHeld) / b.heldN
 	}
 	b.answeredAt = b.now
 	b.countLate(took > aim)
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1245,3 +1245,26 @@
 		}
 	}
 }
+
+// The guess at how long answers take for each request that a server holds outlived dozens of answers, and a sidecar
+// refused at its start what servers with a request or two would have answered well in time.
+func TestAFewAnswersTellHowLongTheyTake(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(3)...)
+	for range 5 {
+		id, acts := g.ask(safeClass)
+		if _, ok := sentTo(g.probes(acts, 0, nil)); !ok {
+			t.Fatal("refused although the servers hold nothing")
+		}
+		g.now += 20
+		g.answer(id, 0, OK, 20)
+	}
+	g.now += 100
+	_, acts := g.ask(safeClass)
+	if _, ok := sentTo(g.probes(acts, 2, nil)); !ok {
+		t.Error("refused although 20 ms for each of three requests are far below the aim")
+	}
+	_, acts = g.ask(safeClass)
+	if acts = g.probes(acts, 50, nil); !has(acts, Refuse) {
+		t.Error("not refused although all servers are full")
+	}
+}
