Judge a server by when its answer begins, not by how long that takes to come

Lines at fault: Outcome.Took ran to the last byte of an answer, so that slow lines and pieces counted as load, and made attempts overdue whose answer was under way. The module now hears of its beginning (Answering).

--- a/balance/api.go
+++ b/balance/api.go
@@ -222,6 +222,14 @@
 	Spent   bool // as in Outcome
 }
 
+// Answering says that the good answer of an attempt has begun to come, and not all at once: the server has done its
+// work. How long the rest takes hangs on the line and on what is at its ends; it may still break off.
+type Answering struct {
+	Request RequestID
+	Attempt int
+	Took    float64
+}
+
 // Started says that a streamed answer has begun; the client owns the attempt now.
 type Started struct {
 	Request RequestID
@@ -254,6 +262,7 @@
 func (Request) event()     {}
 func (Outcome) event()     {}
 func (Uploaded) event()    {}
+func (Answering) event()   {}
 func (Started) event()     {}
 func (HangUp) event()      {}
 func (Timer) event()       {}
--- a/balance/state.go
+++ b/balance/state.go
@@ -296,6 +296,8 @@
 		}
 	case Uploaded:
 		b.onUploaded(ev)
+	case Answering:
+		b.onAnswering(ev)
 	case Started:
 		b.onStarted(ev)
 	}
@@ -396,9 +398,22 @@
 	}
 	r.stream = true // the client owns it now: no deadline, no repeat
 	b.cancelOthers(r, ev.Attempt)
-	if a := &r.tries[ev.Attempt]; a.live { // its answer is there; what is left is no load but transfer
+	b.begin(r, ev.Attempt, ev.Took)
+}
+
+func (b *Balancer) onAnswering(ev Answering) {
+	if r := b.reqs[ev.Request]; r != nil && ev.Attempt < len(r.tries) {
+		b.begin(r, ev.Attempt, ev.Took)
+		b.step(r)
+	}
+}
+
+// begin judges an attempt when its answer begins. What is left is transfer and no load, and never overdue.
+func (b *Balancer) begin(r *request, attempt int, took float64) {
+	if a := &r.tries[attempt]; a.live && !a.judged {
 		b.unburden(r, a)
-		b.judge(r, a, Outcome{Result: OK, Took: ev.Took})
+		a.overdue = false
+		b.judge(r, a, Outcome{Result: OK, Took: took})
 		a.judged = true
 	}
 }
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1268,3 +1268,38 @@
 		t.Error("not refused although all servers are full")
 	}
 }
+
+// An answer that has begun is done for its server, however long the rest takes to come: it is no load, its server
+// is not slow, and it is not given up for another.
+func TestASlowTransferIsNoLoad(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(3)...)
+	for range 10 {
+		id, acts := g.ask(safeClass)
+		if _, ok := sentTo(g.probes(acts, 0, nil)); !ok {
+			t.Fatal("not sent")
+		}
+		g.now += 20
+		g.do(Answering{Request: id, Attempt: 0, Took: 20})
+		if load := g.b.openLoad(); load != 0 {
+			t.Fatalf("load of %v while answers come", load)
+		}
+		g.now += 230
+		if acts := g.do(Timer{Token: uint64(id)}); has(acts, Cancel) || has(acts, Send) || has(acts, Refuse) {
+			t.Fatalf("in the middle of an answer: %v", acts)
+		}
+		g.answer(id, 0, OK, 250)
+	}
+	if got := g.b.classes[safeClass].mean; got != 20 {
+		t.Errorf("answers are held to take %v ms", got)
+	}
+	_, acts := g.ask(safeClass)
+	if _, ok := sentTo(g.probes(acts, 2, nil)); !ok {
+		t.Error("refused for how long answers take to come")
+	}
+	id, acts := g.ask(safeClass)
+	s, _ := sentTo(g.probes(acts, 0, nil))
+	g.do(Answering{Request: id, Attempt: 0, Took: 20})
+	if g.answer(id, 0, Reset, 30); g.b.byID[s].errs != 1 {
+		t.Error("an answer that breaks off is no error")
+	}
+}
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -50,8 +50,9 @@
 }
 
 // next reads one answer to its last byte, or to the first one over maxBody, when the rest is still to be read from
-// the response. A body that ends early is an error, and so is what no answer may be.
-func (r answerReader) next(method string) (*http.Response, []byte, error) {
+// the response. A body that ends early is an error, and so is what no answer may be. If the body of a good answer does
+// not come with its head, coming is called in between.
+func (r answerReader) next(method string, coming func()) (*http.Response, []byte, error) {
 	r.allowance.left = maxAnswerHead
 	for {
 		closes := r.closes()
@@ -72,6 +73,9 @@
 		if len(resp.TransferEncoding) > 0 { // only in chunks: all else is an error by now
 			resp.Body = io.NopCloser(&chunkReader{in: r.Reader})
 		}
+		if resp.StatusCode == http.StatusOK && !r.holds(resp) {
+			coming()
+		}
 		r.allowance.left = maxFraming * maxBody
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 		if err != nil {
@@ -84,6 +88,15 @@
 	}
 }
 
+// holds reports whether the whole body is in the buffer.
+func (r answerReader) holds(resp *http.Response) bool {
+	if resp.ContentLength >= 0 {
+		return int64(r.Buffered()) >= resp.ContentLength
+	}
+	got, _ := r.Peek(r.Buffered())
+	return len(resp.TransferEncoding) > 0 && bytes.HasSuffix(got, []byte("0\r\n\r\n"))
+}
+
 // endless reports whether a body goes on until the connection ends although the server did not say that it would
 // end it: nobody may wait for that.
 func endless(resp *http.Response, closes bool) bool {
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -161,7 +161,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r := newAnswerReader(bytes.NewReader(text))
-		resp, body, err := r.next(http.MethodPost)
+		resp, body, err := r.next(http.MethodPost, func() {})
 		if (resp == nil) != (err != nil) || len(body) > maxBody+1 {
 			t.Errorf("%v with %d bytes and %v", resp, len(body), err)
 		}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,8 +32,12 @@
 		result  result
 		at      time.Time
 	}
-	uploaded struct{ attempt *attempt } // the last byte of a long body has gone to the server
-	begun    struct {                   // a long answer goes on to the client
+	uploaded  struct{ attempt *attempt } // the last byte of a long body has gone to the server
+	answering struct {                   // a good answer has begun to come
+		attempt *attempt
+		at      time.Time
+	}
+	begun struct { // a long answer goes on to the client
 		attempt *attempt
 		answer  *answer
 		at      time.Time
@@ -227,6 +231,9 @@
 		l.end(ev)
 	case uploaded:
 		l.uploaded(ev.attempt)
+	case answering:
+		at := ev.attempt
+		l.tell(balance.Answering{Request: at.id, Attempt: at.number, Took: l.clock(ev.at) - at.sent})
 	case begun:
 		l.stream(ev)
 	case probed:
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -142,7 +142,7 @@
 		return result{outcome: balance.ConnectFailed}, false
 	}
 	u.figures.attempts.Add(1)
-	resp, body, err := c.in.next(a.message.method)
+	resp, body, err := c.in.next(a.message.method, a.coming)
 	if err != nil {
 		return result{outcome: a.broken(err)}, false
 	}
@@ -163,7 +163,7 @@
 		}
 		a.tell(uploaded{a})
 	})
-	resp, body, err := c.in.next(a.message.method)
+	resp, body, err := c.in.next(a.message.method, a.coming)
 	if err == nil {
 		r, reusable = u.conclude(a, c, resp, body)
 		return r, reusable && s.whole.Load()
@@ -219,6 +219,9 @@
 	return r, err == nil && !resp.Close && c.in.Buffered() == 0
 }
 
+// coming tells the loop that the answer has begun.
+func (a *attempt) coming() { a.tell(answering{a, time.Now()}) }
+
 func interrupted(a *attempt, err error) bool {
 	return a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
@@ -301,7 +304,7 @@
 	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", u.probe, c.addr); err != nil {
 		return result{outcome: balance.ConnectFailed}, false
 	}
-	resp, body, err := c.in.next(http.MethodGet)
+	resp, body, err := c.in.next(http.MethodGet, func() {})
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return result{outcome: balance.TimedOut}, false
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -28,7 +28,7 @@
 
 func newAttempt(e *endpoint, within time.Duration) *attempt {
 	a := &attempt{
-		endpoint: e, cut: time.Now().Add(within),
+		endpoint: e, cut: time.Now().Add(within), tell: func(any) {},
 		message: &message{method: "POST", uri: "/api", host: "app.svc", header: http.Header{}, body: []byte("order 7")},
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
