Pass an answer on from its first bytes where it is long or its length unknown

Lines at fault: next() read up to 64 KiB of every answer before any went on. Now an answer that announces more goes on from its first byte, and one of unknown length if it does not come within 20 ms of its head; what is announced to be short is still read whole, and sent again if it breaks.

--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 )
@@ -49,42 +50,80 @@
 	return answerReader{bufio.NewReader(a), a}
 }
 
-// next reads one answer to its last byte, or to the first one over maxBody, when the rest is still to be read from
-// the response. A body that ends early is an error, and so is what no answer may be. If the body of a good answer does
-// not come with its head, coming is called in between.
-func (r answerReader) next(method string, coming func()) (*http.Response, []byte, error) {
+// course follows an answer as it comes.
+type course interface {
+	coming()    // a good answer's head has come, and not the whole body with it
+	soon()      // what is read from now on has to come soon
+	patiently() // ... or in its time again
+}
+
+// atRest follows nothing.
+type atRest struct{}
+
+func (atRest) coming()    {}
+func (atRest) soon()      {}
+func (atRest) patiently() {}
+
+// next reads one answer to its last byte. Of a long one it reads the first part; the rest is still to be read from the
+// response. With an announced length it is long from its first byte on if that says so; without one if it comes to
+// more than maxBody, or does not come at once, as nothing tells then how long it will be. A body that ends early is
+// an error, and so is what no answer may be.
+func (r answerReader) next(method string, on course) (resp *http.Response, body []byte, long bool, err error) {
+	resp, err = r.head(method)
+	if err != nil {
+		return nil, nil, false, err
+	}
+	if resp.Body == http.NoBody && resp.Close && resp.StatusCode != http.StatusOK { // see head
+		return resp, nil, false, nil
+	}
+	good := resp.StatusCode == http.StatusOK
+	if good && !r.holds(resp) {
+		on.coming()
+	}
+	r.allowance.left = maxFraming * maxBody
+	if resp.ContentLength > maxBody {
+		_, err := r.Peek(1) // or nothing of it may ever come
+		r.allowance.left = math.MaxInt
+		return resp, nil, true, err
+	}
+	if unknown := resp.ContentLength < 0; good && unknown {
+		on.soon()
+		defer on.patiently()
+	}
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	long = len(body) > maxBody
+	if good && resp.ContentLength < 0 && len(body) > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		long, err = true, nil
+	}
+	if long {
+		r.allowance.left = math.MaxInt // as much as the client takes
+	}
+	return resp, body, long, err
+}
+
+// head reads up to the body of the final answer.
+func (r answerReader) head(method string) (*http.Response, error) {
 	r.allowance.left = maxAnswerHead
 	for {
 		closes := r.closes()
 		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		if resp.StatusCode < 200 { // an interim answer: the real one follows
 			continue
 		}
 		if endless(resp, closes) {
 			if resp.StatusCode == http.StatusOK {
-				return nil, nil, errUnframed
+				return nil, errUnframed
 			}
-			resp.Close = true // its head tells all that is asked of it
-			return resp, nil, nil
+			resp.Close, resp.Body = true, http.NoBody // its head tells all that is asked of it
+			return resp, nil
 		}
 		if len(resp.TransferEncoding) > 0 { // only in chunks: all else is an error by now
 			resp.Body = io.NopCloser(&chunkReader{in: r.Reader})
 		}
-		if resp.StatusCode == http.StatusOK && !r.holds(resp) {
-			coming()
-		}
-		r.allowance.left = maxFraming * maxBody
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		if err != nil {
-			return nil, nil, err
-		}
-		if len(body) > maxBody {
-			r.allowance.left = math.MaxInt // as much as the client takes
-		}
-		return resp, body, nil
+		return resp, nil
 	}
 }
 
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -41,17 +41,18 @@
 		answer step
 		want   balance.Result
 	}{
-		"noise":               {stay("\x80\x8a\xf9\xcf\r\n\r\n"), balance.Reset},
-		"no status":           {stay("HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n"), balance.Reset},
-		"no colon":            {stay("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n"), balance.Reset},
-		"head without end":    {flow("HTTP/1.1 200 OK\r\n", "X-Pad: pppppppp\r\n"), balance.Reset},
-		"line without end":    {flow("HTTP/1.1 200 OK\r\nX-Pad: ", "pppppppp"), balance.Reset},
-		"interim without end": {flow("", "HTTP/1.1 102 Processing\r\n\r\n"), balance.Reset},
-		"two lengths":         {stay("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"), balance.Reset},
-		"bad chunk":           {stay("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"), balance.Reset},
-		"no length":           {stay("HTTP/1.1 200 OK\r\n\r\nserved"), balance.Reset},
-		"error, no length":    {stay("HTTP/1.1 500 Oops\r\n\r\nmore to come"), balance.Failed},
-		"away, no length":     {stay("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\n\r\n"), balance.Full},
+		"noise":                 {stay("\x80\x8a\xf9\xcf\r\n\r\n"), balance.Reset},
+		"no status":             {stay("HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n"), balance.Reset},
+		"no colon":              {stay("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n"), balance.Reset},
+		"head without end":      {flow("HTTP/1.1 200 OK\r\n", "X-Pad: pppppppp\r\n"), balance.Reset},
+		"line without end":      {flow("HTTP/1.1 200 OK\r\nX-Pad: ", "pppppppp"), balance.Reset},
+		"interim without end":   {flow("", "HTTP/1.1 102 Processing\r\n\r\n"), balance.Reset},
+		"two lengths":           {stay("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"), balance.Reset},
+		"announced and no more": {breakOff("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n"), balance.Reset},
+		"bad chunk":             {stay("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"), balance.Reset},
+		"no length":             {stay("HTTP/1.1 200 OK\r\n\r\nserved"), balance.Reset},
+		"error, no length":      {stay("HTTP/1.1 500 Oops\r\n\r\nmore to come"), balance.Failed},
+		"away, no length":       {stay("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\n\r\n"), balance.Full},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -161,8 +162,8 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r := newAnswerReader(bytes.NewReader(text))
-		resp, body, err := r.next(http.MethodPost, func() {})
-		if (resp == nil) != (err != nil) || len(body) > maxBody+1 {
+		resp, body, _, err := r.next(http.MethodPost, atRest{})
+		if resp == nil && err == nil || len(body) > maxBody+1 {
 			t.Errorf("%v with %d bytes and %v", resp, len(body), err)
 		}
 	})
--- a/internal/sidecar/download.go
+++ b/internal/sidecar/download.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,11 +19,10 @@
 
 // download is the rest of an answer of more than maxBody: it goes on to the client as it comes.
 type download struct {
-	first  []byte          // what was read of it
-	body   io.Reader       // what is yet to come
-	conn   net.Conn        // from the server
-	length int64           // as announced; -1: none was
-	ctx    context.Context // of the attempt
+	first  []byte    // what was read of it
+	body   io.Reader // what is yet to come
+	allow  func()    // gives the server time for the next piece
+	length int64     // as announced; -1: none was
 	cancel context.CancelFunc
 	ended  chan error // takes how it ended
 }
@@ -73,10 +71,7 @@
 	p := pieces.Get().(*[]byte)
 	defer pieces.Put(p)
 	for {
-		d.conn.SetReadDeadline(time.Now().Add(stall))
-		if err := d.ctx.Err(); err != nil { // whose own deadline was just taken back
-			return err
-		}
+		d.allow()
 		n, err := d.body.Read(*p)
 		if n > 0 {
 			if err := pass(w, rc, (*p)[:n]); err != nil {
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -279,3 +279,31 @@
 		t.Errorf("it went on with %v ms, %v", left, err)
 	}
 }
+
+// Nothing tells how long an answer without a length will be. One that does not come at once goes on as it comes: a
+// client waits for its first bytes.
+func TestAnswersOfUnknownLengthPassOnSoon(t *testing.T) {
+	for name, c := range map[string]struct{ first, second string }{
+		"in chunks":                    {"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n4", "\r\nfghi\r\n0\r\n\r\n"},
+		"to the end of the connection": {"Connection: close\r\n\r\nabcde", "fghi"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			more := make(chan bool)
+			s := newScript(t, parts(more, "HTTP/1.1 200 OK\r\n"+c.first, c.second))
+			n := startNode(t, testConfig(t, ready("s-1", s.addr)))
+			resp, err := n.client.Do(n.request("read"))
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%v %v", resp, err)
+			}
+			defer resp.Body.Close()
+			got := make([]byte, 5)
+			if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != "abcde" {
+				t.Fatalf("%q, %v", got, err)
+			}
+			more <- true
+			if rest, err := io.ReadAll(resp.Body); err != nil || string(rest) != "fghi" {
+				t.Errorf("then %q, %v", rest, err)
+			}
+		})
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -19,10 +20,13 @@
 )
 
 const (
-	maxBody       = 64 << 10 // of any message
-	loadHeader    = "Endpoint-Load-Metrics"
-	expiryHeader  = "X-Expires-In"
-	neverRan      = "X-Never-Ran"
+	maxBody      = 64 << 10 // of any message
+	loadHeader   = "Endpoint-Load-Metrics"
+	expiryHeader = "X-Expires-In"
+	neverRan     = "X-Never-Ran"
+	// atOnce is how long an answer of unknown length may take from its head on to count as whole. A longer one goes on
+	// as it comes: clients wait for its first bytes.
+	atOnce        = 20 * time.Millisecond
 	probePatience = 250 * time.Millisecond // beyond the time for a connection
 )
 
@@ -142,11 +146,11 @@
 		return result{outcome: balance.ConnectFailed}, false
 	}
 	u.figures.attempts.Add(1)
-	resp, body, err := c.in.next(a.message.method, a.coming)
+	resp, body, long, err := c.in.next(a.message.method, onTime{a, c})
 	if err != nil {
 		return result{outcome: a.broken(err)}, false
 	}
-	return u.conclude(a, c, resp, body)
+	return u.conclude(a, c, resp, body, long)
 }
 
 // exchangeLong writes a request with a long body as it comes, while the answer may come already.
@@ -155,17 +159,12 @@
 	defer s.body.stopped.Store(true)
 	go s.run(c, a.message.request(a.left, s.body, s.body.length), func() {
 		u.figures.attempts.Add(1)
-		if cut := time.Now().Add(a.left); cut.Before(a.cut) {
-			c.SetReadDeadline(cut)
-		}
-		if a.ctx.Err() != nil { // whose own deadline was just taken back
-			c.SetReadDeadline(time.Unix(1, 0))
-		}
+		a.allow(c, earlier(a.cut, time.Now().Add(a.left)))
 		a.tell(uploaded{a})
 	})
-	resp, body, err := c.in.next(a.message.method, a.coming)
+	resp, body, long, err := c.in.next(a.message.method, uploading{a})
 	if err == nil {
-		r, reusable = u.conclude(a, c, resp, body)
+		r, reusable = u.conclude(a, c, resp, body, long)
 		return r, reusable && s.whole.Load()
 	}
 	if s.whole.Load() {
@@ -186,9 +185,8 @@
 }
 
 // conclude makes a result of an answer. A long one goes on to the client from here, before the attempt ends.
-func (u *upstream) conclude(a *attempt, c *conn, resp *http.Response, body []byte) (r result, reusable bool) {
+func (u *upstream) conclude(a *attempt, c *conn, resp *http.Response, body []byte, long bool) (r result, reusable bool) {
 	r = result{outcome: outcomeOf(resp), report: reportOf(resp, u.fields)}
-	long := len(body) > maxBody
 	if r.outcome != balance.OK {
 		return r, !long && !resp.Close && c.in.Buffered() == 0
 	}
@@ -199,7 +197,8 @@
 		return r, !resp.Close && c.in.Buffered() == 0
 	}
 	d := &download{
-		first: body, body: resp.Body, conn: c, length: resp.ContentLength, ctx: a.ctx, cancel: a.cancel, ended: make(chan error, 1),
+		first: body, body: resp.Body, length: resp.ContentLength, cancel: a.cancel, ended: make(chan error, 1),
+		allow: func() { a.allow(c, time.Now().Add(stall)) },
 	}
 	r.answer.body, r.answer.rest = nil, d
 	a.tell(begun{a, r.answer, time.Now()})
@@ -219,8 +218,37 @@
 	return r, err == nil && !resp.Close && c.in.Buffered() == 0
 }
 
-// coming tells the loop that the answer has begun.
-func (a *attempt) coming() { a.tell(answering{a, time.Now()}) }
+// allow sets when the answer has to come, unless the attempt is cancelled, which has a deadline of its own.
+func (a *attempt) allow(c net.Conn, until time.Time) {
+	c.SetReadDeadline(until)
+	if a.ctx.Err() != nil {
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// uploading is the course of an answer to a long body, of which the last byte may still be on its way.
+type uploading struct{ *attempt }
+
+func (u uploading) coming()  { u.tell(answering{u.attempt, time.Now()}) }
+func (uploading) soon()      {}
+func (uploading) patiently() {}
+
+// onTime is the course of any other answer.
+type onTime struct {
+	*attempt
+	c *conn
+}
+
+func (t onTime) coming()    { t.tell(answering{t.attempt, time.Now()}) }
+func (t onTime) soon()      { t.allow(t.c, earlier(t.cut, time.Now().Add(atOnce))) }
+func (t onTime) patiently() { t.allow(t.c, t.cut) }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
 
 func interrupted(a *attempt, err error) bool {
 	return a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
@@ -304,7 +332,7 @@
 	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", u.probe, c.addr); err != nil {
 		return result{outcome: balance.ConnectFailed}, false
 	}
-	resp, body, err := c.in.next(http.MethodGet, func() {})
+	resp, body, _, err := c.in.next(http.MethodGet, atRest{})
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return result{outcome: balance.TimedOut}, false
 	}
