Close the connection without a sign of life for longest, not the one that began first

Ruled out: memory and descriptors, which were not full; the limit for heads, as the slow ones write for 2 s of 2.2. Lines at fault: victim() spared a request on its way for 1 s and then took it for silent, and slowest() chose the one that began first: of a true client that writes for 2 s and one that stopped after half a head, the true one. Design: first what has been without a request for 2 s, then idle connections, whose clients connect again, then by the last byte. Rejected: a separate budget for unfinished heads; it would be too small in a crowd and wasted else. The limit for a head is 2.6 s now, as a client may take 2.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -4,6 +4,7 @@
 	queues "container/list"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -11,12 +12,9 @@
 )
 
 const (
-	// mayClose is how long a connection has to be without a request before it is closed in favour of a new one
-	// while there are others that never asked.
+	// mayClose is how long a connection without a request has to be there before it may be closed: sooner only where
+	// that is better than to turn a new one away.
 	mayClose = 2 * time.Second
-	// onItsWay is how long a connection is spared from when a request on it began: a request comes in one piece,
-	// but its serving goroutine may have to wait for the processor.
-	onItsWay = time.Second
 	// keptShare is the part of the connections that are kept for a next request beside those with an open one.
 	keptShare = 4
 	// triedAtOnce bounds the system calls in a search for one to close.
@@ -112,57 +110,59 @@
 	return true
 }
 
-// victim finds the connection that is missed least: the one silent for longest, but one that never asked rather
-// than one that has been idle for a short while. Where none is silent it is the one whose request has been on its
-// way for longest without being whole, or clients that send a little now and then would hold every place. It leaves
-// its queue. The caller holds mu.
+// victim finds the connection that is missed least: one that has been without a request for so long that it may be
+// closed, then one between two requests, whose client connects again, then the one that has been without a sign of
+// life for longest. Clients that never finish a request stall somewhere; one that writes slowly goes on writing. The
+// victim leaves its queue. The caller holds mu.
 func (cs *clients) victim(now time.Time) *client {
-	first, second := &cs.silent, &cs.idle
-	if c := oldest(second); c != nil && now.Sub(c.since) >= mayClose {
-		if s := oldest(first); s == nil || c.since.Before(s.since) {
-			first, second = second, first
+	stalled := cs.stalled()
+	late := len(stalled)
+	for i, c := range stalled {
+		if now.Sub(c.heard()) < mayClose {
+			late = i
+			break
 		}
 	}
-	for _, queue := range []*queues.List{first, second} {
-		tries := triedAtOnce
-		for at := queue.Front(); at != nil && tries > 0; at = at.Next() {
-			c := at.Value.(*client)
-			if began, partial := c.framing.partial(); partial && now.Sub(began) < onItsWay {
-				continue
-			}
-			tries--
+	for _, some := range [][]*client{stalled[:late], entries(&cs.idle), stalled[late:]} {
+		for _, c := range some[:min(len(some), triedAtOnce)] {
 			if peek(c.TCPConn) == silent {
 				cs.dequeue(c)
 				return c
 			}
 		}
 	}
-	slowest := cs.slowest()
-	if slowest != nil {
-		cs.dequeue(slowest)
-	}
-	return slowest
+	return nil
 }
 
-// slowest returns the connection with the request that began first of those that are not whole. The caller holds mu.
-func (cs *clients) slowest() (slowest *client) {
-	first := time.Time{}
-	for _, queue := range []*queues.List{&cs.silent, &cs.idle, &cs.active} {
-		for at := queue.Front(); at != nil; at = at.Next() {
-			c := at.Value.(*client)
-			if began, partial := c.framing.partial(); partial && !c.busy.Load() && (slowest == nil || began.Before(first)) {
-				slowest, first = c, began
+// stalled returns the connections of which no whole request has come, the one without a sign of life for longest
+// first. The caller holds mu.
+func (cs *clients) stalled() []*client {
+	all := entries(&cs.silent)
+	for _, queue := range []*queues.List{&cs.idle, &cs.active} {
+		for _, c := range entries(queue) {
+			if _, partial := c.framing.partial(); partial && !c.busy.Load() {
+				all = append(all, c)
 			}
 		}
 	}
-	return slowest
+	slices.SortStableFunc(all, func(a, b *client) int { return a.heard().Compare(b.heard()) })
+	return all
 }
 
-func oldest(queue *queues.List) *client {
-	if at := queue.Front(); at != nil {
-		return at.Value.(*client)
+// heard is when the last byte came, or the connection itself.
+func (c *client) heard() time.Time {
+	if at := c.framing.last.Load(); at > 0 {
+		return time.Unix(0, at)
 	}
-	return nil
+	return c.opened
+}
+
+func entries(queue *queues.List) []*client {
+	all := make([]*client, 0, queue.Len())
+	for at := queue.Front(); at != nil; at = at.Next() {
+		all = append(all, at.Value.(*client))
+	}
+	return all
 }
 
 func (cs *clients) enqueue(c *client, queue *queues.List) {
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -109,6 +109,28 @@
 	}
 }
 
+// A client that writes its head slowly goes on writing; those that never finish stall, and go first, however many come
+// and however long the slow one has been at it.
+func TestAWritingClientOutlivesStalledOnes(t *testing.T) {
+	s := newScript(t, say(200, "served"))
+	cfg := testConfig(t, ready("s-1", s.addr))
+	cfg.Limits.Sockets = 64 // 20 of them for clients
+	n := startNode(t, cfg)
+	slow, text := n.dial(), n.raw("pay", "Content-Length: 2")+"ab"
+	for _, b := range []byte(text) {
+		n.say(slow, string(b))
+		half := n.raw("read")
+		n.say(n.dial(), half[:len(half)/2])
+		if resp, _ := n.do(n.request("read")); resp.StatusCode != 200 {
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+		n.client.CloseIdleConnections()
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the slow one: %v %v", resp, err)
+	}
+}
+
 // Where each connection has an open request it is the new one that has to go.
 func TestOpenRequestsStay(t *testing.T) {
 	ln := listen(t)
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -35,6 +35,7 @@
 	begun atomic.Int64 // requests of which a byte has come
 	whole atomic.Int64 // ... and their last, as far as can be told
 	since atomic.Int64 // when the last one began, Unix nanoseconds
+	last  atomic.Int64 // when the last byte came
 }
 
 // partial tells whether a request is on its way that is not whole, and when it began.
@@ -44,6 +45,9 @@
 
 // scan takes in what was read and returns how many of the bytes may go on; fewer than all only with f.err set.
 func (f *framing) scan(p []byte, now time.Time) int {
+	if len(p) > 0 {
+		f.last.Store(now.UnixNano())
+	}
 	for rest := p; len(rest) > 0; {
 		switch {
 		case f.blind:
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -21,7 +21,7 @@
 const (
 	// What a client that stalls is owed is an error or a close within 3 s of connecting. A request that is
 	// written in one piece takes a moment; a connection may be silent for 2 s before its first.
-	headTimeout = 2200 * time.Millisecond // for the head of a request
+	headTimeout = 2600 * time.Millisecond // for the head of a request
 	readTimeout = 2900 * time.Millisecond // for all of it, unless it is long
 	// writeTimeout is for an answer: a client that does not read holds it, and a descriptor.
 	writeTimeout = 10 * time.Second
