Refuse a request only if no probed server would answer it in time

Ruled out: overload, shedding (2), resting or cold servers (next to none then). Lines at fault: pick() and before(). An open connection multiplies a server's weight, and where all were over their share the pick went by load for each weight, so that the connected one won however full it was; then crowded() refused for that one alone. One that would answer too late now counts as over its share, and goes after those that would not.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -252,7 +252,7 @@
 	b.wake(r)
 }
 
-// crowded: probes found no server that would answer in time; nothing was sent yet.
+// crowded: by its probe the server would not answer in time; nothing was sent yet. If the best is, all are.
 func (b *Balancer) crowded(r *request, s *server) bool {
 	return len(r.tries) == 0 && b.fresh(s) && b.now+b.perHeld*(b.holds(s)+1) > r.arrived+probedAim*r.class.Aim
 }
@@ -302,7 +302,8 @@
 			continue
 		}
 		// Bounded load: who holds more than its share is slow, hung or crowded; it keeps its running value.
-		over := !s.known || s.probing || b.holds(s)+1 > math.Ceil(most*s.weight)
+		bounded := b.holds(s)+1 <= math.Ceil(most*s.weight) && !b.crowded(r, s)
+		over := !s.known || s.probing || !bounded
 		if best == nil || bestOver && !over || over == bestOver && b.before(r, s, best, repeat, over) {
 			best, bestOver = s, over
 		}
@@ -392,6 +393,9 @@
 	if over && s.known != best.known { // what it holds is known, if much; of the other nothing is
 		return s.known
 	}
+	if late, later := b.crowded(r, s), b.crowded(r, best); over && late != later {
+		return later
+	}
 	if over && !repeat {
 		return (b.holds(s)+1)*best.weight < (b.holds(best)+1)*s.weight
 	}
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1303,3 +1303,38 @@
 		t.Error("an answer that breaks off is no error")
 	}
 }
+
+// A request was refused because the server next in turn, to which a connection was open, was crowded, while others
+// that were probed for it held next to nothing.
+func TestACrowdedServerIsNoReasonToRefuse(t *testing.T) {
+	cfg := probeConfig()
+	cfg.Prices.Handshake, cfg.ConnIdle = 0.12, 10000
+	g := newRig(t, cfg, fleet(3)...)
+	var at ServerID
+	for range 10 {
+		id, acts := g.ask(safeClass)
+		at, _ = sentTo(g.probes(acts, 0, nil))
+		g.now += 50
+		g.answer(id, 0, OK, 50)
+	}
+	for _, s := range g.b.servers {
+		if s.ID != at {
+			s.usedAt = math.Inf(1) // the connections to the others were closed
+		}
+	}
+	g.now += 100
+	_, acts := g.ask(safeClass)
+	var after []Action
+	for _, a := range acts {
+		if a.Kind == Probe {
+			n := float32(1)
+			if a.Server == at {
+				n = 9
+			}
+			after = append(after, g.do(ProbeResult{Server: a.Server, Report: []float32{n}})...)
+		}
+	}
+	if s, ok := sentTo(after); !ok || s == at {
+		t.Errorf("sent to %d: %v, refused: %v", s, ok, has(after, Refuse))
+	}
+}
