Let an ending process finish what is on its way, and take nothing late that it cannot

Ruled out: the drain of the listener, as these connections are older than the signal; the time of their servers. Lines at fault: end() and retire() closed what was open at their limit, and a request on a kept connection was taken however late it came. Now open requests are waited for, idle connections close 0.6 s after SIGTERM, and what comes later has its answer before the kill or is refused; a long answer to it is not begun (Outcome.Spent tells the module).

--- a/balance/api.go
+++ b/balance/api.go
@@ -218,8 +218,9 @@
 
 // Uploaded says that the last byte of a long body has gone to the server: its request's time begins.
 type Uploaded struct {
-	Request RequestID
-	Spent   bool // as in Outcome
+	Request   RequestID
+	Remaining float64 // as in Request
+	Spent     bool    // as in Outcome
 }
 
 // Answering says that the good answer of an attempt has begun to come, and not all at once: the server has done its
--- a/balance/state.go
+++ b/balance/state.go
@@ -381,7 +381,7 @@
 		return
 	}
 	r.spent = ev.Spent
-	r.Uploading, r.arrived, r.deadline = false, b.now, b.now+r.Remaining
+	r.Uploading, r.arrived, r.deadline = false, b.now, b.now+ev.Remaining
 	for i := range r.tries {
 		if a := &r.tries[i]; a.live {
 			a.sent = b.now
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -83,6 +83,33 @@
 	}
 }
 
+// dropUnasked closes the connections on which no whole request is open.
+func (cs *clients) dropUnasked() {
+	cs.mu.Lock()
+	unasked := append(entries(&cs.silent), entries(&cs.idle)...)
+	for _, c := range entries(&cs.active) {
+		if _, partial := c.framing.partial(); partial && !c.busy.Load() {
+			unasked = append(unasked, c)
+		}
+	}
+	cs.mu.Unlock()
+	for _, c := range unasked {
+		c.Close()
+	}
+}
+
+// dropIdle closes the connections between two requests on which nothing has come yet.
+func (cs *clients) dropIdle() {
+	cs.mu.Lock()
+	idle := entries(&cs.idle)
+	cs.mu.Unlock()
+	for _, c := range idle {
+		if _, partial := c.framing.partial(); !partial && peek(c.TCPConn) == silent {
+			c.Close()
+		}
+	}
+}
+
 // none reports whether no connection is open.
 func (cs *clients) none() bool {
 	cs.mu.Lock()
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -57,9 +57,10 @@
 	post    func(any)
 	done    <-chan struct{} // closed when nothing answers any more
 	clients *clients
-	kept    budget      // for long bodies
-	ready   atomic.Bool // there are servers to send to
-	ending  atomic.Bool // the sidecar shuts down
+	kept    budget                    // for long bodies
+	ready   atomic.Bool               // there are servers to send to
+	ending  atomic.Bool               // the sidecar shuts down
+	last    atomic.Pointer[lastTimes] // ... and these times hold
 }
 
 // clientKey is the context key of a request's connection.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -104,6 +104,7 @@
 	lane      *lane
 	live      int
 	done      bool
+	late      bool // it came when the sidecar was ending, and must be over before that is killed
 	uploading bool // of a long body more is to come: its time has not begun
 	streaming bool // a long answer is on its way: it is done, but has not ended
 }
@@ -343,11 +344,20 @@
 	l.requests[r.id], l.byCall[c] = r, r
 	r.uploading = c.request.Uploading
 	if !r.uploading {
+		l.hurry(r, c.received)
 		l.limit(r)
 	}
 	l.tell(c.request)
 }
 
+// hurry leaves a request that came late to an ending sidecar only the time that this has.
+func (l *loop) hurry(r *request, came time.Time) {
+	if last := l.front.last.Load(); last != nil && came.After(last.taken) {
+		r.late = true
+		r.call.request.Remaining = max(0, min(r.call.request.Remaining, l.clock(last.answered)-l.now))
+	}
+}
+
 // limit begins the time of a request, which counts from its last byte.
 func (l *loop) limit(r *request) {
 	r.deadline = l.now + r.call.request.Remaining
@@ -359,8 +369,9 @@
 	at.sent = l.now
 	if r := l.requests[at.id]; r != nil && r.uploading && !r.done {
 		r.uploading = false
+		l.hurry(r, l.time(l.now))
 		l.limit(r)
-		l.tell(balance.Uploaded{Request: r.id, Spent: at.message.upload.spent.Load()})
+		l.tell(balance.Uploaded{Request: r.id, Remaining: r.call.request.Remaining, Spent: at.message.upload.spent.Load()})
 	}
 }
 
@@ -368,7 +379,10 @@
 func (l *loop) stream(ev begun) {
 	at := ev.attempt
 	r := l.requests[at.id]
-	if r.done {
+	if r.late { // it would be cut off half way
+		at.tooLong = true
+	}
+	if r.done || r.late {
 		ev.answer.rest.end(errClient)
 		return
 	}
@@ -481,8 +495,9 @@
 		Request: r.id, Attempt: at.number, Result: ev.result.outcome, Took: took,
 		Finished: r.done, Report: ev.result.report,
 	}
+	out.Spent = at.tooLong
 	if up := at.message.upload; up != nil {
-		out.Spent = up.spent.Load()
+		out.Spent = out.Spent || up.spent.Load()
 	}
 	if at.endpoint != nil {
 		out.Server = at.endpoint.id
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -30,7 +30,12 @@
 	lastSpare = 650 * time.Millisecond // beyond the longest deadline, by when all must have ended
 	// lastDeadline is what counts as the longest deadline at most: soon after it the process is killed.
 	lastDeadline = 3 * time.Second
-	lookAgain    = 10 * time.Millisecond // whether a client is left
+	// lastTaken is how long after the signal clients may use the connections that they have for another request. What
+	// comes 0.7 s after it is lost if the process is killed before its answer ends, and a long one would be.
+	lastTaken   = 600 * time.Millisecond
+	lastMargin  = 50 * time.Millisecond // for an answer to reach its client
+	lastAnswers = time.Minute           // what is still on its way then hangs
+	lookAgain   = 10 * time.Millisecond // whether a client is left
 )
 
 // Run serves until ctx ends, and then until all that was taken is answered. With each signal of reloads it reads
@@ -132,8 +137,10 @@
 	case <-ctx.Done():
 	}
 	log.Info("ending", "upgrade", out.handover.succeeded())
+	times := lastTimesFrom(time.Now(), min(longest(l.front.rules.Load().list), lastDeadline))
+	l.front.last.Store(times)
 	l.front.ending.Store(true)
-	limit, cancel := context.WithTimeout(context.Background(), min(longest(l.front.rules.Load().list), lastDeadline)+lastSpare)
+	limit, cancel := context.WithDeadline(context.Background(), times.over)
 	defer cancel()
 	if out.handover.succeeded() {
 		return l.front.retire(limit, server, door)
@@ -149,6 +156,19 @@
 	return int64(l.MemoryMB * (1 << 20) / keptMemory)
 }
 
+// lastTimes are those of an ending process. It may be killed soon after the longest deadline. What it finishes then has
+// to have come a while before; a request that comes later has less time than its client gives it.
+type lastTimes struct {
+	taken    time.Time // what comes later is late
+	answered time.Time // by when what is late must have its answer
+	over     time.Time // by when all must have ended
+}
+
+func lastTimesFrom(signal time.Time, longest time.Duration) *lastTimes {
+	over := signal.Add(longest + lastSpare)
+	return &lastTimes{taken: signal.Add(lastTaken), answered: over.Add(-lastMargin), over: over}
+}
+
 // share holds the processes that run of this sidecar to its limits together.
 func share(cfg *Config, processes int, pool *pool, clients *clients) {
 	sockets := cfg.Limits.Sockets/processes - spareSockets
@@ -167,26 +187,40 @@
 	door.end(limit)
 	err := server.Shutdown(limit)
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = server.Close() // connections on which no request ever came
+		err = f.outlast(server)
 	}
 	return err
 }
 
-// retire leaves new connections to the process that has taken over. Clients go on using those that they have: each
-// ends with its next answer, as closing it now could cross a request that nobody would read.
+// outlast waits for the requests that are still open past the limit: answers that are on their way for long. What
+// ends them is lost, so that it is not this process that does, unless nobody else ever does.
+func (f *front) outlast(server *http.Server) error {
+	f.clients.dropUnasked()
+	limit, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	f.clients.wait(limit)
+	return server.Close()
+}
+
+// retire leaves new connections to the process that has taken over. Clients go on using those that they have for a
+// while: each ends with its next answer, as closing all at once would cross requests that nobody would read.
 func (f *front) retire(limit context.Context, server *http.Server, door *listener) error {
 	steer(door.Listener)
 	sleep(limit, settling)
 	door.end(limit)
-	ticker := time.NewTicker(lookAgain)
-	defer ticker.Stop()
-	for limit.Err() == nil && !f.clients.none() {
-		select {
-		case <-ticker.C:
-		case <-limit.Done():
-		}
+	early, cancel := context.WithDeadline(limit, f.last.Load().taken)
+	defer cancel()
+	f.clients.wait(early)
+	f.clients.dropIdle()
+	f.clients.wait(limit)
+	return f.outlast(server)
+}
+
+// wait returns when no connection is left, or limit ends.
+func (cs *clients) wait(limit context.Context) {
+	for limit.Err() == nil && !cs.none() {
+		sleep(limit, lookAgain)
 	}
-	return server.Close()
 }
 
 func longest(classes []balance.Class) time.Duration {
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -6,12 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"cedararch/balance"
 )
 
 // long is a body that does not fit into memory in one piece, as far as the sidecar is concerned.
@@ -307,3 +310,80 @@
 		})
 	}
 }
+
+// A long answer may be on its way for longer than an ending process waits for others. It is not cut.
+func TestEndingOutlastsLongAnswers(t *testing.T) {
+	more := make(chan bool)
+	half := len(long) / 2
+	s := newScript(t, parts(more, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(long))+long[:half], long[half:]))
+	cfg := testConfig(t, ready("s-1", s.addr))
+	for i := range cfg.Balance.Classes {
+		cfg.Balance.Classes[i].Deadline = 100
+	}
+	n := startNode(t, cfg)
+	resp, err := n.client.Do(n.request("read"))
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v %v", resp, err)
+	}
+	defer resp.Body.Close()
+	silent := n.dial()
+	n.end()
+	if _, err := io.ReadAll(silent); err != nil { // it is closed when the others' time is over
+		t.Fatal(err)
+	}
+	more <- true
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != long {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
+
+// What comes late to an ending process has only the time until that may be killed, and is refused rather than begun
+// where its answer would take longer.
+func TestLateRequestsToAnEndingProcess(t *testing.T) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(long))
+	for name, c := range map[string]struct {
+		answer step
+		late   bool
+		want   int
+	}{
+		"long, late": {stay(head + long[:100]), true, 503}, "short, late": {say(200, "ok"), true, 200},
+		"none, late": {stay(""), true, 503}, "long, in time": {stay(head + long[:100]), false, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, c.answer)
+			l := newLoop(t.Context(), testConfig(t), slog.New(slog.DiscardHandler))
+			l.upstream, l.front = newUpstream(t, 1024), &front{}
+			now := time.Now()
+			l.now = l.clock(now)
+			last := &lastTimes{taken: now.Add(time.Hour), answered: now.Add(300 * time.Millisecond)}
+			if c.late {
+				last.taken = now.Add(-time.Millisecond)
+			}
+			l.front.last.Store(last)
+			l.take(listed{list: &list{Complete: true, Members: []member{ready("s-1", s.addr)}}}, balance.ListFull)
+			made := &call{
+				answers: make(chan *answer, 1), trace: "7", received: now, rules: l.rules, request: balance.Request{Remaining: 20000},
+				message: &message{method: "GET", uri: "/api", host: "app.svc", header: http.Header{}},
+			}
+			l.begin(made)
+			for len(made.answers) == 0 {
+				select {
+				case ev := <-l.inbox:
+					l.now = l.clock(time.Now())
+					l.handle(ev)
+				case <-time.After(time.Millisecond):
+					l.now = l.clock(time.Now())
+					l.fire()
+				}
+				l.settle()
+			}
+			a := <-made.answers
+			if a.status != c.want || l.now > l.clock(last.answered)+overdue+1000 {
+				t.Errorf("answered %d after %v ms", a.status, l.now-l.clock(now))
+			}
+			if a.rest != nil {
+				a.rest.end(errClient)
+			}
+		})
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -54,6 +54,7 @@
 	left     time.Duration   // from the last byte of a long body on
 	tell     func(any)       // posts to the loop
 	over     <-chan struct{} // closed when the loop ends
+	tooLong  bool            // of the loop: its answer is longer than an ending sidecar can pass on
 	started  float64         // of the loop: what it took until a long answer began; 0: none has
 }
 
