Share the listening socket with the process that takes over

What was seen: TestUpgradeLosesNothing failed again, once in some 60 upgrades: connect was reset. A new test of the steering alone showed that it never led a connection anywhere: the kernel answers SO_ATTACH_REUSEPORT_CBPF with "operation not supported", which steer() did not look at. Lines at fault: steer(), and closing a listener of one's own, whatever the order: a handshake can cross the close. Design: the old process passes its listening socket over the Unix socket beside the legacy; both take from one queue, and the old one only stops taking. Where that fails, for a silent old process above all, both listen with SO_REUSEPORT as before, and the old one empties its queue first. Steering is gone. Also: an ended process leaves the socket's path to its heirs' heirs, and classes long gone are forgotten at 256.

--- a/internal/sidecar/figures.go
+++ b/internal/sidecar/figures.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,23 @@
 	return l
 }
 
+// mostLanes bounds the classes that are told of: every new configuration may bring others.
+const mostLanes = 256
+
+// trim forgets the classes that came first of those that are in use no more, where there are too many.
+func (f *figures) trim(used []*lane) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	over := len(f.lanes) - max(mostLanes, len(used))
+	f.lanes = slices.DeleteFunc(f.lanes, func(l *lane) bool {
+		drop := over > 0 && !slices.Contains(used, l)
+		if drop {
+			over--
+		}
+		return drop
+	})
+}
+
 // count takes in a final answer by its status.
 func (l *lane) count(status int) {
 	switch {
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -13,6 +13,8 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cedararch/balance"
@@ -45,9 +47,12 @@
 type handover struct {
 	dir, name string
 	listen    string
+	listener  net.Listener // at the clients' address; of the process before, then this one's
 	log       *slog.Logger
 	shared    func(processes int) // told how many processes there are now, this one included
 
+	retired atomic.Bool // this process ends: the socket is for others now
+
 	mu    sync.Mutex
 	old   net.Conn // to the process before
 	heirs int      // processes that took over from this one
@@ -91,34 +96,93 @@
 	if err != nil {
 		return nil, fmt.Errorf("take over: %w", err)
 	}
-	l, err := readLegacy(c, h.listen)
+	ln, l, err := readLegacy(c.(*net.UnixConn), h.listen)
 	if err != nil {
 		c.Close()
 		return nil, fmt.Errorf("take over: %w", err)
 	}
 	h.mu.Lock()
-	h.old = c
+	h.old, h.listener = c, ln
 	h.mu.Unlock()
 	return l, nil
 }
 
-func readLegacy(c net.Conn, listen string) (*legacy, error) {
+// readLegacy reads the listener that the process before shares, if it does, and what it knows.
+func readLegacy(c *net.UnixConn, listen string) (net.Listener, *legacy, error) {
 	c.SetDeadline(time.Now().Add(askOldTime))
 	if _, err := io.WriteString(c, hello); err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	ln, err := receiveListener(c, listen)
+	if err != nil {
+		return nil, nil, err
 	}
 	l := &legacy{}
-	if err := gob.NewDecoder(io.LimitReader(c, maxLegacy)).Decode(l); err != nil {
-		return nil, err
+	err = gob.NewDecoder(io.LimitReader(c, maxLegacy)).Decode(l)
+	if err == nil && (l.Version != legacyVersion || l.Listen != listen) {
+		err = fmt.Errorf("a legacy of version %d, for %q", l.Version, l.Listen)
 	}
-	if l.Version != legacyVersion || l.Listen != listen {
-		return nil, fmt.Errorf("a legacy of version %d, for %q", l.Version, l.Listen)
+	if err == nil {
+		err = l.List.check()
 	}
-	if err := l.List.check(); err != nil {
-		return nil, err
+	if err != nil {
+		if ln != nil {
+			ln.Close()
+		}
+		return nil, nil, err
 	}
 	c.SetDeadline(time.Time{})
-	return l, nil
+	return ln, l, nil
+}
+
+// sendListener shares a listener over a Unix socket. Both processes then take connections from one queue: none is lost
+// when the older one stops, as would be any whose handshake crosses the end of a listener of its own.
+func sendListener(c *net.UnixConn, ln net.Listener) error {
+	var rights []byte
+	sent := false
+	err := errors.ErrUnsupported
+	send := func() { _, _, err = c.WriteMsgUnix([]byte{legacyVersion}, rights, nil); sent = true }
+	control(ln, func(fd uintptr) {
+		rights = syscall.UnixRights(int(fd))
+		send()
+	})
+	if !sent || err != nil && len(rights) > 0 { // no descriptor to be had, or none that may be sent
+		rights = nil
+		send()
+	}
+	return err
+}
+
+// receiveListener returns the listener that the other side shares, or nil where it is none for the address.
+func receiveListener(c *net.UnixConn, listen string) (net.Listener, error) {
+	var first [1]byte
+	rights := make([]byte, syscall.CmsgSpace(4))
+	_, n, _, _, err := c.ReadMsgUnix(first[:], rights)
+	if err != nil {
+		return nil, err
+	}
+	if first[0] != legacyVersion {
+		return nil, fmt.Errorf("a legacy of version %d", first[0])
+	}
+	messages, err := syscall.ParseSocketControlMessage(rights[:n])
+	if err != nil || len(messages) == 0 {
+		return nil, nil
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) == 0 {
+		return nil, nil
+	}
+	f := os.NewFile(uintptr(fds[0]), "listener")
+	defer f.Close() // FileListener has a copy
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, nil
+	}
+	if ln.Addr().String() != listen {
+		ln.Close()
+		return nil, nil
+	}
+	return ln, nil
 }
 
 // run serves heirs until ctx ends, and follows the life of the process before.
@@ -140,7 +204,7 @@
 			h.tell()
 		})
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !h.retired.Load() {
 		ln, err := h.open()
 		if err != nil {
 			h.log.Info("no upgrade can take over from this process", "error", err)
@@ -194,7 +258,7 @@
 }
 
 // hand gives the legacy to one heir, stays connected as long as it lives, and reports whether it was one.
-func (h *handover) hand(ctx context.Context, c net.Conn, bequeath func() (*legacy, error)) bool {
+func (h *handover) hand(ctx context.Context, c *net.UnixConn, bequeath func() (*legacy, error)) bool {
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
@@ -203,6 +267,9 @@
 		return false
 	}
 	l, err := bequeath()
+	if err == nil {
+		err = sendListener(c, h.listener)
+	}
 	if err == nil {
 		err = gob.NewEncoder(c).Encode(l)
 	}
@@ -247,6 +314,13 @@
 	h.shared(n)
 }
 
+// retire says that this process ends. An heir that dies later leaves the socket to its own heir, or to nobody.
+func (h *handover) retire() {
+	if h != nil {
+		h.retired.Store(true)
+	}
+}
+
 // succeeded reports whether another process has taken over and runs.
 func (h *handover) succeeded() bool {
 	if h == nil {
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -214,6 +214,25 @@
 	next(t, done)
 }
 
+// A process that ends leaves the socket alone when its heir ends too: it may be the next one's by then.
+func TestARetiredProcessLeavesTheSocket(t *testing.T) {
+	cfg := &Config{Listen: "127.0.0.1:1", Mgmt: "x", scratch: t.TempDir()}
+	h := newHandover(cfg, slog.New(slog.DiscardHandler))
+	done := make(chan bool)
+	go func() {
+		h.run(t.Context(), func() (*legacy, error) { return &legacy{Version: legacyVersion, Listen: cfg.Listen}, nil })
+		close(done)
+	}()
+	heir := newHandover(cfg, slog.New(slog.DiscardHandler))
+	until(t, "the socket is there", func() bool { _, err := heir.inherit(); return err == nil })
+	h.retire()
+	heir.old.Close()
+	next(t, done)
+	if _, err := newHandover(cfg, h.log).inherit(); err == nil {
+		t.Error("it took the socket back")
+	}
+}
+
 // A legacy for another address, or of another version, is none.
 func TestForeignLegacyIsRefused(t *testing.T) {
 	for _, l := range []legacy{
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -9,19 +9,10 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-	"unsafe"
 )
 
-// Options of Linux that package syscall does not name.
-const (
-	soReusePort  = 15 // SO_REUSEPORT
-	soAttachCBPF = 51 // SO_ATTACH_REUSEPORT_CBPF
-	soDetachBPF  = 68 // SO_DETACH_REUSEPORT_BPF
-)
-
-// settling is how long a listener whose address goes to another process yet takes connections: those that it was
-// chosen for before.
-const settling = 20 * time.Millisecond
+// soReusePort is SO_REUSEPORT of Linux, which package syscall does not name.
+const soReusePort = 15
 
 // listenShared listens so that a process of an upgrade can listen at the same address beside this one. Where the
 // option is refused, the address is this process's own.
@@ -46,6 +37,7 @@
 	clients *clients
 	pool    *pool
 
+	shared atomic.Bool // another process takes from the same queue
 	ending atomic.Bool
 	closed chan struct{} // once nothing more is taken
 	ended  bool          // of the accepting goroutine: the queue is empty and the listener closed
@@ -132,31 +124,15 @@
 				l.free()
 			case err == syscall.EINTR || err == syscall.ECONNABORTED:
 			default:
-				syscall.Shutdown(int(fd), syscall.SHUT_RD)
+				if !l.shared.Load() { // else it would end for the other process too
+					syscall.Shutdown(int(fd), syscall.SHUT_RD)
+				}
 				return
 			}
 		}
 	})
 }
 
-// steer leads all new connections to the process that listened at the same address after this one. Without it, one
-// whose handshake crosses the end of the listener that it was led to is reset. Where the kernel refuses, connections
-// go on being spread.
-func steer(ln net.Listener) {
-	const returnK = 0x06 // BPF_RET|BPF_K: of the sockets of the address the one with this index
-	code := [1]syscall.SockFilter{{Code: returnK, K: 1}}
-	prog := syscall.SockFprog{Len: uint16(len(code)), Filter: &code[0]}
-	control(ln, func(fd uintptr) {
-		syscall.Syscall6(syscall.SYS_SETSOCKOPT, fd, syscall.SOL_SOCKET, soAttachCBPF,
-			uintptr(unsafe.Pointer(&prog)), unsafe.Sizeof(prog), 0)
-	})
-}
-
-// spread undoes what steer did, for all processes of the address: the next one to listen is not ready at once.
-func spread(ln net.Listener) {
-	control(ln, func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soDetachBPF, 0) })
-}
-
 // control calls do with the descriptor of a listener, if it has one.
 func control(ln net.Listener, do func(fd uintptr)) {
 	if c, ok := ln.(syscall.Conn); ok {
--- a/internal/sidecar/mgmt_test.go
+++ b/internal/sidecar/mgmt_test.go
@@ -194,6 +194,18 @@
 	}
 }
 
+// Classes that are gone are told of for long, not for ever.
+func TestFiguresAreBounded(t *testing.T) {
+	f := &figures{}
+	first := f.lane("kept")
+	for i := range 3 * mostLanes {
+		f.trim([]*lane{first, f.lane(fmt.Sprint(i))})
+	}
+	if len(f.lanes) != mostLanes || f.lanes[0] != first || f.lanes[1].class != fmt.Sprint(2*mostLanes+1) {
+		t.Errorf("%d classes, the second is %q", len(f.lanes), f.lanes[1].class)
+	}
+}
+
 // A class may have any name; the text stays what a reader of the format takes.
 func TestFiguresEscapeNames(t *testing.T) {
 	f := &figures{}
--- a/internal/sidecar/rules.go
+++ b/internal/sidecar/rules.go
@@ -22,6 +22,7 @@
 	for _, name := range r.names {
 		r.lanes = append(r.lanes, f.lane(name))
 	}
+	f.trim(r.lanes)
 	return r
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,7 +44,7 @@
 	out := outside{handover: newHandover(cfg, log)}
 	if out.handover != nil {
 		if l, err := out.handover.inherit(); err == nil {
-			out.heritage = l
+			out.heritage, out.clients = l, out.handover.listener
 			cfg.inherit(l)
 			log.Info("taking over", "servers", len(l.List.Members), "revision", l.List.Revision)
 		} else if !errors.Is(err, os.ErrNotExist) {
@@ -72,8 +72,10 @@
 		}
 		return nil
 	}
-	if o.clients, err = listenShared(cfg.Listen); err != nil {
-		return err
+	if o.clients == nil { // no process before gave its own
+		if o.clients, err = listenShared(cfg.Listen); err != nil {
+			return err
+		}
 	}
 	if o.mgmt, err = net.Listen("tcp", cfg.Mgmt); err != nil {
 		o.clients.Close()
@@ -118,10 +120,8 @@
 	if out.handover != nil {
 		out.handover.shared = func(processes int) {
 			share(cfg, processes, pool, clients)
-			if processes == 1 {
-				spread(out.clients)
-			}
 		}
+		out.handover.listener = out.clients
 		tasks.Go(func() { out.handover.run(inner, l.bequeath) })
 	}
 	defer tasks.Wait()
@@ -136,6 +136,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
+	out.handover.retire()
 	log.Info("ending", "upgrade", out.handover.succeeded())
 	times := lastTimesFrom(time.Now(), min(longest(l.front.rules.Load().list), lastDeadline))
 	l.front.last.Store(times)
@@ -205,8 +206,7 @@
 // retire leaves new connections to the process that has taken over. Clients go on using those that they have for a
 // while: each ends with its next answer, as closing all at once would cross requests that nobody would read.
 func (f *front) retire(limit context.Context, server *http.Server, door *listener) error {
-	steer(door.Listener)
-	sleep(limit, settling)
+	door.shared.Store(true)
 	door.end(limit)
 	early, cancel := context.WithDeadline(limit, f.last.Load().taken)
 	defer cancel()
