--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -214,6 +214,39 @@
 	next(t, done)
 }
 
+// Both processes take connections from one queue: what waits in it when the old one stops is the new one's.
+func TestHeirTakesFromTheSameQueue(t *testing.T) {
+	ln := listen(t)
+	cfg := &Config{Listen: ln.Addr().String(), Mgmt: "x", scratch: t.TempDir()}
+	h := newHandover(cfg, slog.New(slog.DiscardHandler))
+	h.listener = ln
+	go h.run(t.Context(), func() (*legacy, error) { return &legacy{Version: legacyVersion, Listen: cfg.Listen}, nil })
+	heir := newHandover(cfg, h.log)
+	until(t, "the socket is there", func() bool { _, err := heir.inherit(); return err == nil })
+	if heir.listener == nil {
+		t.Fatal("no listener came with the legacy")
+	}
+	defer heir.listener.Close()
+	defer heir.old.Close()
+	waiting, err := net.Dial("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer waiting.Close()
+	ln.Close()
+	late, err := net.Dial("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	for _, c := range []net.Conn{waiting, late} {
+		got, err := heir.listener.Accept()
+		if err != nil || got.RemoteAddr().String() != c.LocalAddr().String() {
+			t.Errorf("took %v, %v", got, err)
+		}
+	}
+}
+
 // A process that ends leaves the socket alone when its heir ends too: it may be the next one's by then.
 func TestARetiredProcessLeavesTheSocket(t *testing.T) {
 	cfg := &Config{Listen: "127.0.0.1:1", Mgmt: "x", scratch: t.TempDir()}
