Count a server that answers no probes as avoided between its rests too

Ruled out: the age of the figure, which is a fifth of a second at most, and the count of those that drain. Lines at fault: Avoided() went by the rests alone; after one the server is probed again, and passed over until the probe is lost and rests it anew.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -544,7 +544,7 @@
 func (b *Balancer) Avoided(now float64) int {
 	n := 0
 	for _, s := range b.servers {
-		if s.State != Ready || now < s.restUntil || s.zone.dark {
+		if s.State != Ready || now < s.restUntil || s.zone.dark || s.dark {
 			n++
 		}
 	}
--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1338,3 +1338,21 @@
 		t.Errorf("sent to %d: %v, refused: %v", s, ok, has(after, Refuse))
 	}
 }
+
+// A server that does not answer probes gets nothing between its rests either: its next probe is lost as well.
+func TestASilentServerCountsAsAvoided(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(2)...)
+	g.ask(safeClass)
+	g.do(ProbeResult{Server: 2, Took: 1, Report: []float32{0}})
+	g.now += 350
+	g.do(ProbeResult{Server: 1, Result: TimedOut, Took: 350})
+	for _, later := range []float64{0, 100000} { // in its rest, and long after it
+		if got := g.b.Avoided(g.now + later); got != 1 {
+			t.Errorf("%v ms later %d servers are avoided", later, got)
+		}
+	}
+	g.do(ProbeResult{Server: 1, Took: 1, Report: []float32{0}})
+	if got := g.b.Avoided(g.now); got != 0 {
+		t.Errorf("%d are avoided when both answer", got)
+	}
+}
