--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,9 +1,11 @@
 // Package sidecar is the program round the decision module: it takes an application's requests, sends them to
 // servers as the module decides, and follows the list of servers. Each file has one job: config.go reads the
-// configuration; front.go faces the application, over connections that clients.go budgets and framing.go tells apart
-// into requests; loop.go owns the module; upstream.go makes attempts over the connections of pool.go and reads what
-// comes back with answer.go; discovery.go follows the list, reload.go turns it to where a new configuration says; and
-// this file starts and ends it all.
+// configuration and rules.go holds what requests are taken under; listener.go takes connections, front.go faces the
+// application over those that clients.go budgets and framing.go tells apart into requests, with upload.go and
+// download.go for long bodies; loop.go owns the module, and change.go what outlasts a change; upstream.go makes attempts
+// over the connections of pool.go and reads what comes back with answer.go and chunks.go; discovery.go follows the
+// list, reload.go takes a new configuration; mgmt.go answers at the second address with what figures.go counts;
+// handover.go joins the two processes of an upgrade; and this file starts and ends it all.
 package sidecar
 
 import (
