Log why attempts fail, requests are refused and connections end without a response

Cause: none of this was logged. Of a request whose connection ended without a complete response the log could not tell who closed it: net/http's errors, panics of handlers among them, were hidden at level debug.

Change: an attempt without a good response is logged with request, server, outcome and error; a request that is refused, failed or left by its client with the time it had left; a client connection that ends without a complete response with its phase, the reason of this side if it had one, and the last read and write error. No decision changes.

--- a/balance/events.go
+++ b/balance/events.go
@@ -80,6 +80,19 @@
 	NotAttempted         // nothing was sent
 )
 
+// resultNames are the names of the results in logs, in their order.
+var resultNames = [...]string{
+	"ok", "server error", "rejected", "timed out", "connect failed", "connection reset", "cancelled", "not attempted",
+}
+
+// String returns the name of a result for logs.
+func (r Result) String() string {
+	if int(r) < len(resultNames) {
+		return resultNames[r]
+	}
+	return "unknown result"
+}
+
 // NeverExecuted reports whether the result proves that the attempt was not executed.
 func (r Result) NeverExecuted() bool { return r == Rejected || r == ConnectFailed || r == NotAttempted }
 
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -42,6 +42,7 @@
 	*net.TCPConn
 	tracker  *ConnTracker
 	openedAt time.Time
+	record   connRecord
 
 	// requests counts the requests that reached the handler. Only the serving goroutine uses it.
 	requests int64
@@ -173,8 +174,25 @@
 	return began.Add(readTimeout)
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	n, err := c.TCPConn.Write(data)
+	if err != nil {
+		c.record.writeFailed(err)
+	}
+	return n, err
+}
+
+// closeFor closes the connection because of a decision of this side.
+func (c *Conn) closeFor(reason closeReason) {
+	c.record.explain(reason, nil)
+	c.Close()
+}
+
 // Close closes the connection and removes it from its tracker. It may be called more than once.
 func (c *Conn) Close() error {
-	c.tracker.remove(c)
+	if c.tracker.remove(c) {
+		c.record.logClose(c.tracker.Log, c.RemoteAddr().String())
+	}
 	return c.TCPConn.Close()
 }
--- a/internal/downstream/conn_read.go
+++ b/internal/downstream/conn_read.go
@@ -46,6 +46,9 @@
 	if err != nil && err != io.EOF && err != c.scanner.Err {
 		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 	}
+	if err != nil {
+		c.record.readFailed(err)
+	}
 	return n, err
 }
 
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -71,7 +71,7 @@
 // connKey is the context key of the *Conn of a request.
 type connKey struct{}
 
-// HTTPServer returns an http.Server that serves s. It must be used with a Listener, and logs its errors at level debug.
+// HTTPServer returns an http.Server that serves s. It must be used with a Listener, and logs its errors.
 func (s *Server) HTTPServer(log *slog.Logger) *http.Server {
 	return &http.Server{
 		Handler:           s,
@@ -79,7 +79,7 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelError),
 		ConnState:         s.conns.trackState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
@@ -92,6 +92,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := r.Context().Value(connKey{}).(*Conn)
 	conn.countRequest()
+	conn.record.begin(r.Header.Get(traceIDHeader))
 	if s.state.ShuttingDown.Load() {
 		closeAfterResponse(w)
 	}
@@ -103,6 +104,7 @@
 	default:
 		rejectMalformed(w, &exchange.RequestError{Status: http.StatusNotFound, Text: "no such path"})
 	}
+	conn.record.enter(phaseResponded) // a handler that aborts does not return
 }
 
 // closeAfterResponse makes net/http close the connection after the response.
@@ -143,15 +145,19 @@
 		defer conn.uploading.Store(false)
 		defer upload.Release()
 	}
+	conn.record.enter(phaseAwaiting)
 	s.Handler.RequestArrived(request)
 	select {
 	case response := <-request.Responses:
+		conn.record.enter(phaseResponding)
 		s.respond(w, r, conn, request.Message.Upload, response)
 	case <-r.Context().Done():
+		conn.record.explain(reasonContextDone, context.Cause(r.Context()))
 		s.Handler.ClientLeft(request)
 		// A return would send an empty 200, and a client that has closed only its sending side would accept it.
 		panic(http.ErrAbortHandler)
 	case <-s.done:
+		conn.record.explain(reasonProcessEnds, nil)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/downstream/stream.go
+++ b/internal/downstream/stream.go
@@ -33,6 +33,7 @@
 	if err == nil {
 		return
 	}
+	conn.record.explain(reasonStreamBroken, err)
 	if download.Length < 0 && !r.ProtoAtLeast(1, 1) {
 		conn.SetLinger(0) // resets the connection: its regular end would mean that the response is complete
 	}
--- a/internal/downstream/tracker.go
+++ b/internal/downstream/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -36,10 +37,14 @@
 	// AfterRead, if set, is called after each read, before net/http knows of the bytes. It is for tests and must be set
 	// before the first connection is added.
 	AfterRead func()
+	// Log receives why connections end. It must be set before the first connection is added.
+	Log *slog.Logger
 }
 
 // NewConnTracker returns a tracker of at most maxConns connections.
-func NewConnTracker(maxConns int) *ConnTracker { return &ConnTracker{maxConns: maxConns} }
+func NewConnTracker(maxConns int) *ConnTracker {
+	return &ConnTracker{maxConns: maxConns, Log: slog.New(slog.DiscardHandler)}
+}
 
 // Add starts to track a new connection. At the limit it evicts another one; if all have complete requests, it closes
 // the new one and returns nil.
@@ -47,10 +52,10 @@
 	conn := &Conn{TCPConn: tcpConn, tracker: t, openedAt: time.Now()}
 	admitted, victim := t.admit(conn)
 	if victim != nil {
-		victim.Close()
+		victim.closeFor(reasonEvicted)
 	}
 	if !admitted {
-		conn.Close()
+		conn.closeFor(reasonNotAdmitted)
 		return nil
 	}
 	return conn
@@ -72,16 +77,17 @@
 	return true, victim
 }
 
-// remove stops tracking a connection, once.
-func (t *ConnTracker) remove(conn *Conn) {
+// remove stops tracking a connection, and reports whether this is the first call for it.
+func (t *ConnTracker) remove(conn *Conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if conn.closed {
-		return
+		return false
 	}
 	conn.closed = true
 	t.open--
 	t.queues.remove(conn)
+	return true
 }
 
 // SetLimit changes the number of connections that may be open. It evicts those beyond the limit, except connections
@@ -100,7 +106,7 @@
 func (t *ConnTracker) closeWithoutRequest() {
 	for _, conn := range t.all() {
 		if conn.markClosingWithoutRequest() {
-			conn.Close()
+			conn.closeFor(reasonShutdownLimit)
 		}
 	}
 }
@@ -113,7 +119,7 @@
 			return conn.betweenRequests() && (conn.responsesFinished > 0 || time.Since(conn.openedAt) >= MinIdleBeforeClose)
 		}
 		if conn.markClosing(mayClose) {
-			conn.Close()
+			conn.closeFor(reasonShutdownIdle)
 		}
 	}
 }
@@ -149,7 +155,7 @@
 	if victim == nil {
 		return false
 	}
-	victim.Close()
+	victim.closeFor(reasonEvicted)
 	return true
 }
 
--- a/internal/eventloop/actions.go
+++ b/internal/eventloop/actions.go
@@ -19,9 +19,13 @@
 	case balance.SendAttempt:
 		l.startAttempt(action)
 	case balance.RejectRequest:
-		l.finish(l.requests.byID[action.Request], l.rejection(action.RetryAfter))
+		req := l.requests.byID[action.Request]
+		l.logUnserved(req, "request rejected")
+		l.finish(req, l.rejection(action.RetryAfter))
 	case balance.FailRequest:
-		l.finish(l.requests.byID[action.Request], textResponse(http.StatusBadGateway, "failed"))
+		req := l.requests.byID[action.Request]
+		l.logUnserved(req, "request failed")
+		l.finish(req, textResponse(http.StatusBadGateway, "failed"))
 	case balance.CancelAttempt:
 		l.cancelAttempt(action.Request, action.Attempt)
 	case balance.SetTimer:
--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -77,6 +77,7 @@
 	} else {
 		duration = l.clock.milliseconds(ev.endedAt) - ev.attempt.SentAt
 	}
+	l.logFailedAttempt(req, &ev, duration)
 	l.finishWithResult(req, &ev.result)
 	l.notifyBalancer(outcomeOf(ev, duration, req.done))
 	l.releaseIfEnded(req)
--- a/internal/eventloop/requests.go
+++ b/internal/eventloop/requests.go
@@ -97,13 +97,14 @@
 	if req.done {
 		return
 	}
-	l.log.Error("a request was left without an answer", "request", req.id)
+	l.logUnserved(req, "request not finished by the balancer")
 	l.abandonRequest(req, textResponse(http.StatusGatewayTimeout, "out of time"))
 }
 
 // clientLeft ends the request of a client that has closed its connection.
 func (l *Loop) clientLeft(departed *exchange.Exchange) {
 	if req := l.requests.byExchange[departed]; req != nil && !req.done {
+		l.logUnserved(req, "client left")
 		l.abandonRequest(req, nil)
 	}
 	select { // a long response may have been sent just before the client left: nobody else ends it
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -156,6 +156,7 @@
 	client := upstream.NewClient(s.pool, cfg.LoadReportFields, checkPath(cfg), s.counters)
 	s.loop.Attach(client, s.watcher)
 	s.conns = downstream.NewConnTracker(0) // applyLimits sets the limit
+	s.conns.Log = log
 	s.conns.AfterRead = cfg.AfterRead
 	s.conns.BeforeRead = cfg.BeforeRead
 	s.applyLimits(1)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -45,7 +45,7 @@
 	}
 	conn, err := c.pool.get(attempt.Context, attempt.Endpoint, attempt.Deadline)
 	if err != nil {
-		return Result{Outcome: connectOutcome(attempt, err)}
+		return Result{Outcome: connectOutcome(attempt, err), Err: err}
 	}
 	// While the connection was opened, the server may have begun to drain, the request may have ended, and its client
 	// may have left. The kernel knows of that first: the reader of its connection, and the loop, may still wait for
@@ -67,8 +67,8 @@
 }
 
 // failedExchange is the end of an exchange without a complete response. Its connection must be closed.
-func failedExchange(outcome balance.Result) exchangeEnd {
-	return exchangeEnd{result: Result{Outcome: outcome}}
+func failedExchange(outcome balance.Result, err error) exchangeEnd {
+	return exchangeEnd{result: Result{Outcome: outcome, Err: err}}
 }
 
 // exchange writes the request and reads the response. Cancelling the attempt interrupts both and closes the connection.
@@ -90,16 +90,16 @@
 func (c *Client) exchangeBuffered(attempt *Attempt, conn *serverConn) exchangeEnd {
 	request, err := attempt.Message.Encode(attempt.Deadline)
 	if err != nil {
-		return failedExchange(balance.NotAttempted)
+		return failedExchange(balance.NotAttempted, err)
 	}
 	// One write, so that the number of bytes that the kernel accepted shows whether the last byte was sent.
 	if written, err := conn.Write(request); written < len(request) {
-		return failedExchange(writeOutcome(attempt, err))
+		return failedExchange(writeOutcome(attempt, err), err)
 	}
 	c.metrics.Attempts.Add(1)
 	response, err := conn.readResponse(attempt.Message.Method, deadlineObserver{attempt, conn})
 	if err != nil {
-		return failedExchange(attempt.brokenOutcome(err))
+		return failedExchange(attempt.brokenOutcome(err), err)
 	}
 	return c.conclude(attempt, conn, response)
 }
@@ -148,6 +148,7 @@
 	}
 	err := stream(attempt, conn, response)
 	result.Outcome = streamOutcome(attempt, err)
+	result.Err = err
 	return exchangeEnd{result, err == nil && conn.reusableAfter(response)}
 }
 
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -52,14 +52,14 @@
 
 func (c *Client) requestHealth(conn *serverConn) exchangeEnd {
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.checkPath, *conn.address); err != nil {
-		return failedExchange(balance.ConnectFailed)
+		return failedExchange(balance.ConnectFailed, err)
 	}
 	response, err := conn.readResponse(http.MethodGet, http1.IgnoreProgress{})
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return failedExchange(balance.TimedOut)
+		return failedExchange(balance.TimedOut, err)
 	}
 	if err != nil {
-		return failedExchange(balance.ConnReset)
+		return failedExchange(balance.ConnReset, err)
 	}
 	return exchangeEnd{c.healthResult(response), conn.reusableAfter(response)}
 }
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -20,6 +20,7 @@
 	LoadReport  []float32          // in the order of the configured fields; nil: none, or an invalid one
 	UploadError error              // why the request body could not be read from the client: an exchange.ClientError
 	ClientGone  bool               // nothing was sent because the client has left
+	Err         error              // what failed, for the log; nil if a complete response came
 }
 
 // connectOutcome is the outcome of an attempt that got no connection. It tells a failure of the server from one of this
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -108,7 +108,7 @@
 // failure returns the result of an attempt whose response could not be read. The upload was abandoned.
 func (w *uploadWriter) failure(attempt *Attempt, complete bool, err error) Result {
 	if complete {
-		return Result{Outcome: attempt.brokenOutcome(err)}
+		return Result{Outcome: attempt.brokenOutcome(err), Err: err}
 	}
 	if attempt.Context.Err() != nil {
 		return Result{Outcome: balance.Cancelled}
@@ -117,9 +117,9 @@
 	case <-w.done:
 		var clientError exchange.ClientError
 		if errors.As(w.err, &clientError) {
-			return Result{Outcome: balance.NotAttempted, UploadError: clientError}
+			return Result{Outcome: balance.NotAttempted, UploadError: clientError, Err: w.err}
 		}
 	case <-time.After(earlyResponseGrace): // it waits for the client, and ends when more of the body comes
 	}
-	return Result{Outcome: balance.ConnectFailed}
+	return Result{Outcome: balance.ConnectFailed, Err: err}
 }
