Land failing tests for streamed responses of cancelled attempts

The balancer cancels the attempt; the interrupted read is taken for the end of the 20 ms in which such a body may come completely (http1.ResponseReader.readBody), what came is streamed, and the event loop (Loop.startStream) gives it to the client although it has cancelled the attempt. The next read fails, the connection ends.

Change: no repair yet. Package standin has the other parties (servers, discovery, clients, the sidecar as a process), each with records of its own.

--- /dev/null
+++ b/internal/eventloop/cancel_test.go
@@ -0,0 +1,39 @@
+package eventloop
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"cindersaddle/balance"
+	"cindersaddle/internal/exchange"
+)
+
+// TestCancelledAttemptCannotAnswer checks that the beginning of a response which comes after its attempt was cancelled
+// is not given to the client: the rest cannot be read any more, and the balancer retries the request.
+func TestCancelledAttemptCannotAnswer(t *testing.T) {
+	l := newTestLoop(t)
+	l.clock.update()
+	req := newRequest(l.requests.nextID(), newTestExchange(l, time.Now()))
+	l.requests.add(req)
+	endpoint := l.endpoints.add("s-1")
+	attempt := l.newAttempt(req, &balance.Action{Kind: balance.SendAttempt, Request: req.id, Endpoint: endpoint.ID})
+	req.attempts = append(req.attempts, attempt)
+	req.inFlight++
+	l.perform([]balance.Action{{Kind: balance.CancelAttempt, Request: req.id, Attempt: 0}})
+
+	download := &exchange.Download{Done: make(chan error, 1), Cancel: attempt.Cancel}
+	streamStart{attempt: attempt, response: &exchange.Response{Status: 200, Download: download}, startedAt: time.Now()}.apply(l)
+
+	if req.done || len(req.exchange.Responses) > 0 {
+		t.Error("the response of a cancelled attempt was given to the client")
+	}
+	select {
+	case err := <-download.Done:
+		if !errors.Is(err, exchange.ErrClientStopped) {
+			t.Errorf("the response ended with %v, want %v", err, exchange.ErrClientStopped)
+		}
+	default:
+		t.Error("the response is still open, and its attempt would wait for its end")
+	}
+}
--- /dev/null
+++ b/internal/soak/harness_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"cindersaddle/internal/standin"
+)
+
+// program is the path of the sidecar that the tests run.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	program, err = standin.BuildSidecar(dir)
+	code := 1
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// testFleet is a set of servers with a discovery that lists them.
+type testFleet struct {
+	dir       string
+	servers   []*standin.Server
+	discovery *standin.Discovery
+}
+
+// startFleet starts servers, which are stopped at the end of the test.
+func startFleet(t *testing.T, count int, behavior func(*http.Request) standin.Reply) *testFleet {
+	t.Helper()
+	fleet := &testFleet{dir: t.TempDir()}
+	var err error
+	if fleet.discovery, err = standin.NewDiscovery(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.discovery.Close)
+	for i := range count {
+		server, err := standin.NewServer(fmt.Sprintf("s-%d", i), "127.0.0.1:0", behavior)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		fleet.servers = append(fleet.servers, server)
+		fleet.discovery.Set(readyMember(server.Name, server.Addr()))
+	}
+	return fleet
+}
+
+// startSidecar starts a sidecar of the fleet, which is killed at the end of the test.
+func (f *testFleet) startSidecar(t *testing.T, name string, settings any) *standin.Process {
+	t.Helper()
+	listen, err := standin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Join(f.dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	process, err := standin.StartProcess(program, dir, standin.ProcessConfig{
+		Name: name, Listen: listen, Discovery: f.discovery.Addr(), Seed: "8c1f30d27a5be964",
+		Limits: standin.ProcessLimits{Cores: 1, MemoryMB: 192, Sockets: 1024}, Known: f.discovery.List(), Settings: settings,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(process.Kill)
+	return process
+}
