Never pass on a response whose attempt was cancelled or is past its deadline

Change: the observer of a response tells whether the grace has ended the read (ShortenedDeadlineExpired); the loop passes on no response whose attempt it has cancelled, and cancels no attempt whose response is on its way to the client; events that wait are handled before timers that are due, so that a response that has come is not given up as overdue.

--- a/internal/eventloop/actions.go
+++ b/internal/eventloop/actions.go
@@ -41,11 +41,13 @@
 	}
 }
 
-// cancelAttempt cancels an attempt, unless its request has been released.
+// cancelAttempt cancels an attempt, unless its request has been released, or its response is on its way to the client.
 func (l *Loop) cancelAttempt(id balance.RequestID, number int) {
-	if req := l.requests.byID[id]; req != nil && number < len(req.attempts) {
-		req.attempts[number].Cancel()
+	req := l.requests.byID[id]
+	if req == nil || number >= len(req.attempts) || req.attempts[number].StreamLatency > 0 {
+		return
 	}
+	req.attempts[number].Cancel()
 }
 
 // closeIdleConns closes the idle connections to an endpoint, unless it has been removed.
--- a/internal/eventloop/cancel_test.go
+++ b/internal/eventloop/cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -37,3 +38,25 @@
 		t.Error("the response is still open, and its attempt would wait for its end")
 	}
 }
+
+// finishEvent finishes a request with a good response, as the end of an attempt does.
+type finishEvent struct{ request *request }
+
+func (ev finishEvent) apply(l *Loop) { l.finish(ev.request, textResponse(http.StatusOK, "served")) }
+
+// TestWaitingEventsComeBeforeDueTimers checks that an event which waits when a timer is due is handled first: a response that
+// has come is not given up because of its time.
+func TestWaitingEventsComeBeforeDueTimers(t *testing.T) {
+	l := newTestLoop(t)
+	l.clock.update()
+	req := newRequest(l.requests.nextID(), newTestExchange(l, time.Now()))
+	l.requests.add(req)
+	responses := req.exchange.Responses
+	l.timers.schedule(timer{dueAt: l.clock.now, request: req})
+	l.post(finishEvent{req})
+	l.handleBatch(nil)
+	l.fireTimers()
+	if response := <-responses; response.Status != http.StatusOK {
+		t.Errorf("status %d, want 200", response.Status)
+	}
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -125,11 +125,9 @@
 		wakeup.Reset(l.untilNextTimer())
 		select {
 		case ev := <-l.inbox:
-			l.clock.update()
-			ev.apply(l)
-			l.drainInbox()
+			l.handleBatch(ev)
 		case <-wakeup.C:
-			l.clock.update()
+			l.handleBatch(nil)
 		case <-gaugeTicks:
 			l.clock.update()
 			l.publishGauges()
@@ -165,6 +163,16 @@
 	l.metrics.UnavailableEndpoints.Store(int64(l.balancer.UnavailableCount(l.clock.now)))
 }
 
+// handleBatch handles an event, if there is one, and those that wait in the inbox. It is called for a timer that is due too:
+// what has happened comes before what is decided because nothing has, such as a response before its attempt is overdue.
+func (l *Loop) handleBatch(first event) {
+	l.clock.update()
+	if first != nil {
+		first.apply(l)
+	}
+	l.drainInbox()
+}
+
 // drainInbox handles the events that wait now, but none that come meanwhile.
 func (l *Loop) drainInbox() {
 	for n := len(l.inbox); n > 0; n-- {
--- a/internal/eventloop/streams.go
+++ b/internal/eventloop/streams.go
@@ -35,7 +35,9 @@
 	if req.afterShutdown { // the process would be killed before its end
 		attempt.ResponseTooLong = true
 	}
-	if req.done || req.afterShutdown {
+	// The rest of a response whose attempt the balancer has cancelled cannot be read any more, and the request is retried.
+	cancelled := attempt.Context.Err() != nil
+	if req.done || req.afterShutdown || cancelled {
 		ev.response.Download.Finish(exchange.ErrClientStopped)
 		return
 	}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -68,6 +68,9 @@
 	ResponseStarted()
 	// ShortenDeadline is called before bytes are read that have to arrive soon.
 	ShortenDeadline()
+	// ShortenedDeadlineExpired reports, after a read ended by a deadline, whether that was the one of ShortenDeadline. A
+	// cancellation and the usual deadline end reads in the same way, but then nobody waits for the rest of the response.
+	ShortenedDeadlineExpired() bool
 	// RestoreDeadline is called after ShortenDeadline when the usual deadline applies again.
 	RestoreDeadline()
 }
@@ -81,6 +84,9 @@
 // ShortenDeadline does nothing.
 func (IgnoreProgress) ShortenDeadline() {}
 
+// ShortenedDeadlineExpired returns false: no deadline is shortened.
+func (IgnoreProgress) ShortenedDeadlineExpired() bool { return false }
+
 // RestoreDeadline does nothing.
 func (IgnoreProgress) RestoreDeadline() {}
 
@@ -101,7 +107,8 @@
 //
 // A body with an announced length is long if it exceeds MaxBufferedBody; body is empty then. A body of unknown length
 // is long if it turns out to exceed MaxBufferedBody, or, in a response with status 200, if it does not arrive
-// completely within the deadline that observer.ShortenDeadline sets, as its length cannot be predicted.
+// completely within the deadline that observer.ShortenDeadline sets, as its length cannot be predicted. It is not long
+// if something else interrupts the read: observer.ShortenedDeadlineExpired tells.
 //
 // Next returns an error if the head is malformed, if a response with status 200 does not say where it ends, and if the
 // body ends early. It returns a *SizeError if the head is too large or the response announces more than MaxBody bytes.
@@ -146,7 +153,7 @@
 	}
 	body, err = io.ReadAll(io.LimitReader(resp.Body, MaxBufferedBody+1))
 	long = len(body) > MaxBufferedBody
-	if mayStream && len(body) > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if mayStream && len(body) > 0 && errors.Is(err, os.ErrDeadlineExceeded) && observer.ShortenedDeadlineExpired() {
 		long = true
 		err = nil
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -57,6 +57,9 @@
 // ShortenDeadline implements http1.ResponseObserver.
 func (uploadObserver) ShortenDeadline() {}
 
+// ShortenedDeadlineExpired implements http1.ResponseObserver.
+func (uploadObserver) ShortenedDeadlineExpired() bool { return false }
+
 // RestoreDeadline implements http1.ResponseObserver.
 func (uploadObserver) RestoreDeadline() {}
 
@@ -74,5 +77,10 @@
 	o.setReadDeadline(o.conn, earlier(o.Deadline, time.Now().Add(unknownLengthGrace)))
 }
 
+// ShortenedDeadlineExpired implements http1.ResponseObserver.
+func (o deadlineObserver) ShortenedDeadlineExpired() bool {
+	return !o.obsolete() && time.Now().Before(o.Deadline)
+}
+
 // RestoreDeadline implements http1.ResponseObserver.
 func (o deadlineObserver) RestoreDeadline() { o.setReadDeadline(o.conn, o.Deadline) }
