Let no failed accept, peek, read or write end the process or a request by mistake

RequestScanner and Conn.lastActivity kept Unix nanoseconds, so that a step of the wall clock moved the deadline of a body and the choice of a victim.

Change: package socket says what an errno means (Exhausted, Transient, ListenerBroken), and reads and writes go on after transient ones until their deadline; State Unknown closes nothing and counts nobody as gone. Times of the scanner keep the monotonic clock.

The admin listener got the same; it has no test yet.

--- a/internal/admin/listener.go
+++ b/internal/admin/listener.go
@@ -4,7 +4,9 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 
+	"cindersaddle/internal/fault"
 	"cindersaddle/internal/socket"
 )
 
@@ -18,21 +20,32 @@
 	open []*limitedConn // the oldest first
 }
 
+// acceptPause is the time between two tries to accept a connection.
+const acceptPause = 5 * time.Millisecond
+
 // Accept returns the next connection. When the process has no descriptors left it closes the oldest one and tries
-// again.
+// again. It fails only if the listener cannot be used any more: all other errors pass, or are those of one connection.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
-		if socket.Exhausted(err) && l.closeOldest() {
-			continue
-		}
-		if err != nil {
+		conn, err := l.accept()
+		switch {
+		case err == nil:
+			return l.add(conn), nil
+		case socket.ListenerBroken(err):
 			return nil, err
+		case !socket.Exhausted(err) || !l.closeOldest():
+			time.Sleep(acceptPause)
 		}
-		return l.add(conn), nil
 	}
 }
 
+func (l *limitedListener) accept() (net.Conn, error) {
+	if err := fault.Injected(fault.Accept); err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
 func (l *limitedListener) add(conn net.Conn) net.Conn {
 	limited := &limitedConn{Conn: conn, listener: l}
 	l.mu.Lock()
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/fault"
 	"cindersaddle/internal/http1"
 	"cindersaddle/internal/socket"
 )
@@ -86,7 +87,10 @@
 func (c *Conn) markClosing(mayClose func() bool) bool {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	if c.closing || !mayClose() || socket.Peek(c.TCPConn) == socket.Readable {
+	if c.closing || !mayClose() {
+		return false
+	}
+	if state := socket.Peek(c.TCPConn); state == socket.Readable || state == socket.Unknown {
 		return false
 	}
 	c.closing = true
@@ -111,8 +115,8 @@
 
 // lastActivity returns when the last byte arrived, or when the connection was accepted if none has.
 func (c *Conn) lastActivity() time.Time {
-	if at := c.scanner.LastByteAt.Load(); at > 0 {
-		return time.Unix(0, at)
+	if at, any := c.scanner.LastByteAt(); any {
+		return at
 	}
 	return c.openedAt
 }
@@ -176,7 +180,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
-	n, err := c.TCPConn.Write(data)
+	n, err := socket.WriteConn(c.TCPConn, data, fault.Write)
 	if err != nil {
 		c.record.writeFailed(err)
 	}
--- a/internal/downstream/conn_read.go
+++ b/internal/downstream/conn_read.go
@@ -18,6 +18,8 @@
 	maxSurplus = http1.MaxBufferedBody
 	// surplusBufferSize is the number of bytes that are discarded in one read.
 	surplusBufferSize = 512
+	// transientReadPause is the time between two tries of a read that failed for want of memory.
+	transientReadPause = time.Millisecond
 )
 
 var errTooMuchSurplus = fmt.Errorf("more than %d bytes after a request that awaits its response", maxSurplus)
@@ -28,6 +30,27 @@
 	if c.tracker.BeforeRead != nil {
 		c.tracker.BeforeRead(c.RemoteAddr())
 	}
+	for {
+		n, err = c.readWhenReady(buffer)
+		if n > 0 || !socket.Transient(err) {
+			break
+		}
+		time.Sleep(transientReadPause)
+	}
+	if n > 0 && c.tracker.AfterRead != nil {
+		c.tracker.AfterRead()
+	}
+	if err != nil && err != io.EOF && err != c.scanner.Err {
+		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	}
+	if err != nil {
+		c.record.readFailed(err)
+	}
+	return n, err
+}
+
+// readWhenReady waits until bytes or an error can be read, and reads once.
+func (c *Conn) readWhenReady(buffer []byte) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, err
@@ -38,16 +61,7 @@
 		return done
 	})
 	if waitErr != nil {
-		n, err = 0, waitErr
-	}
-	if n > 0 && c.tracker.AfterRead != nil {
-		c.tracker.AfterRead()
-	}
-	if err != nil && err != io.EOF && err != c.scanner.Err {
-		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
-	}
-	if err != nil {
-		c.record.readFailed(err)
+		return 0, waitErr
 	}
 	return n, err
 }
@@ -120,5 +134,5 @@
 	err = raw.Control(func(fd uintptr) {
 		_, endOfStream = c.discardSurplus(int(fd))
 	})
-	return err != nil || endOfStream != nil
+	return err != nil || endOfStream != nil && !socket.Transient(endOfStream)
 }
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -11,14 +11,17 @@
 	"syscall"
 	"time"
 
+	"cindersaddle/internal/fault"
 	"cindersaddle/internal/socket"
 )
 
 const (
 	// soReusePort is SO_REUSEPORT of Linux, which package syscall does not define.
 	soReusePort = 15
-	// acceptPause is how long Accept waits while no descriptor is available.
+	// acceptPause is how long Accept waits while no descriptor is available, and after other errors.
 	acceptPause = 2 * time.Millisecond
+	// acceptLogInterval is the least time between two log lines about connections that could not be accepted.
+	acceptLogInterval = time.Second
 )
 
 // ListenShared listens at a TCP address with SO_REUSEPORT, so that a process that takes over in an upgrade can listen
@@ -42,8 +45,9 @@
 	Evict() bool
 }
 
-// Listener accepts the connections of the application. Accept does not fail when no descriptor is available: it evicts
-// another connection, or waits for a moment only, as clients consider a connection in the listen queue accepted.
+// Listener accepts the connections of the application. Accept fails only if the listener cannot be used any more: its
+// failure ends the process. When no descriptor is available, it evicts another connection, or waits for a moment only, as
+// clients consider a connection in the listen queue accepted; any other error is that of one connection, or passes.
 //
 // Drain accepts the connections that wait in the listen queue before the listener is closed; the kernel would reset
 // them otherwise. Accept must be called by one goroutine only, the other methods by any.
@@ -55,12 +59,14 @@
 	// Shared means that another process accepts from the same listen queue. It must be set before Drain is called.
 	Shared   atomic.Bool
 	draining atomic.Bool
-	closed   chan struct{} // closed when Accept returns net.ErrClosed, so that all drained connections are tracked
-	closing  sync.Once     // closes closed
+	drainEnd context.Context // the limit of a drain; set before draining
+	closed   chan struct{}   // closed when Accept returns net.ErrClosed, so that all drained connections are tracked
+	closing  sync.Once       // closes closed
 
 	// Only the accepting goroutine uses the fields below.
 	queueDrained bool       // the listen queue is empty and the listener closed
 	drained      []net.Conn // connections from the listen queue that Accept has not yet returned
+	errorLogged  time.Time  // when a failed accept was logged last
 }
 
 // NewListener returns a listener that accepts from ln and adds connections to conns. When no descriptor is available,
@@ -81,10 +87,23 @@
 			}
 			continue
 		}
-		if !socket.Exhausted(err) {
+		if socket.ListenerBroken(err) {
 			return nil, err
 		}
+		l.recover(err)
+	}
+}
+
+// recover prepares for another accept after one that failed.
+func (l *Listener) recover(err error) {
+	if time.Since(l.errorLogged) >= acceptLogInterval {
+		l.errorLogged = time.Now()
+		l.conns.Log.Info("connection not accepted", "error", err)
+	}
+	if socket.Exhausted(err) {
 		l.freeDescriptor()
+	} else {
+		time.Sleep(acceptPause)
 	}
 }
 
@@ -100,7 +119,10 @@
 // Drain makes Accept return the connections that wait in the listen queue, and then net.ErrClosed. It returns when the
 // listener is closed, or when ctx ends.
 func (l *Listener) Drain(ctx context.Context) {
-	l.draining.Store(true)
+	if !l.draining.Load() {
+		l.drainEnd = ctx
+		l.draining.Store(true)
+	}
 	if ln, ok := l.Listener.(*net.TCPListener); ok {
 		ln.SetDeadline(time.Unix(1, 0)) // interrupts Accept
 	}
@@ -121,7 +143,7 @@
 // acceptAny returns the next connection, whether or not the tracker admits it.
 func (l *Listener) acceptAny() (net.Conn, error) {
 	if !l.queueDrained {
-		conn, err := l.Listener.Accept()
+		conn, err := l.accept()
 		interrupted := errors.Is(err, os.ErrDeadlineExceeded) && l.draining.Load()
 		if !interrupted {
 			return conn, err
@@ -137,6 +159,13 @@
 	return conn, nil
 }
 
+func (l *Listener) accept() (net.Conn, error) {
+	if err := fault.Injected(fault.Accept); err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
 // drainQueue accepts all connections from the listen queue and closes the listener.
 func (l *Listener) drainQueue(ln *net.TCPListener) {
 	l.queueDrained = true
@@ -144,35 +173,58 @@
 	socket.Control(ln, func(fd uintptr) { l.acceptPending(int(fd)) })
 }
 
-// acceptPending accepts connections until the listen queue is empty, and stops listening at that moment.
+// acceptPending accepts connections until the listen queue is empty, and stops listening at that moment. An error other than
+// an empty queue or a broken listener leaves connections in the queue, which would be reset.
 func (l *Listener) acceptPending(listenerFD int) {
 	for {
-		fd, _, err := syscall.Accept4(listenerFD, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		switch {
-		case err == nil:
-			if conn := connFromDescriptor(fd); conn != nil {
-				l.drained = append(l.drained, conn)
-			}
-		case socket.Exhausted(err):
-			l.freeDescriptor()
-		case err == syscall.EINTR || err == syscall.ECONNABORTED:
+		fd, err := acceptDescriptor(listenerFD)
+		if err == nil {
+			l.addDrained(fd)
 			continue
-		default:
-			if !l.Shared.Load() { // a shutdown would end the listening of the other process too
-				syscall.Shutdown(listenerFD, syscall.SHUT_RD)
-			}
-			return
 		}
+		if err == syscall.EINTR {
+			continue
+		}
+		if err == syscall.EAGAIN || socket.ListenerBroken(err) || l.drainEnd.Err() != nil {
+			break
+		}
+		l.recover(err)
 	}
+	if !l.Shared.Load() { // a shutdown would end the listening of the other process too
+		syscall.Shutdown(listenerFD, syscall.SHUT_RD)
+	}
+}
+
+func acceptDescriptor(listenerFD int) (int, error) {
+	if err := fault.Injected(fault.Accept); err != nil {
+		return 0, err
+	}
+	fd, _, err := syscall.Accept4(listenerFD, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	return fd, err
 }
 
-// connFromDescriptor returns the connection of a descriptor, or nil if it cannot be used. It closes the descriptor.
-func connFromDescriptor(fd int) net.Conn {
+// addDrained adds the connection of a descriptor to those that Accept returns. Its client considers it accepted: while no
+// descriptor is available for its duplicate, another connection is evicted.
+func (l *Listener) addDrained(fd int) {
 	file := os.NewFile(uintptr(fd), "accepted")
-	defer file.Close() // FileConn duplicates the descriptor
-	conn, err := net.FileConn(file)
-	if err != nil {
-		return nil
+	defer file.Close()
+	for {
+		conn, err := connOfFile(file)
+		if err == nil {
+			l.drained = append(l.drained, conn)
+			return
+		}
+		l.recover(err)
+		if !socket.Exhausted(err) || l.drainEnd.Err() != nil {
+			return
+		}
+	}
+}
+
+// connOfFile returns the connection of a file, with a descriptor of its own.
+func connOfFile(file *os.File) (net.Conn, error) {
+	if err := fault.Injected(fault.Duplicate); err != nil {
+		return nil, err
 	}
-	return conn
+	return net.FileConn(file)
 }
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -50,23 +50,34 @@
 
 	// Started counts the requests of which at least one byte has arrived.
 	Started atomic.Int64
-	// LastByteAt is when the last byte arrived, in Unix nanoseconds, or 0 before the first.
-	LastByteAt atomic.Int64
 
-	completed atomic.Int64 // requests that have arrived completely; a chunked one counts after its head
-	startedAt atomic.Int64 // when the last request began, in Unix nanoseconds
+	completed  atomic.Int64              // requests that have arrived completely; a chunked one counts after its head
+	startedAt  atomic.Pointer[time.Time] // when the last request began, on the monotonic clock; nil before the first
+	lastByteAt atomic.Pointer[time.Time] // when the last byte arrived, on the monotonic clock; nil before the first
+}
+
+// LastByteAt returns when the last byte arrived, and whether any has.
+func (s *RequestScanner) LastByteAt() (at time.Time, any bool) { return loadTime(&s.lastByteAt) }
+
+// loadTime returns a time, and whether it is set.
+func loadTime(stored *atomic.Pointer[time.Time]) (at time.Time, set bool) {
+	if pointer := stored.Load(); pointer != nil {
+		return *pointer, true
+	}
+	return time.Time{}, false
 }
 
 // Partial reports whether a request has arrived in part, and when the last request began.
 func (s *RequestScanner) Partial() (began time.Time, partial bool) {
-	return time.Unix(0, s.startedAt.Load()), s.Started.Load() > s.completed.Load()
+	began, _ = loadTime(&s.startedAt)
+	return began, s.Started.Load() > s.completed.Load()
 }
 
 // Scan processes the bytes of one read, which arrived at now, and returns how many of them may be passed on. That is
 // fewer than all only if it sets s.Err; Scan must not be called after that.
 func (s *RequestScanner) Scan(data []byte, now time.Time) int {
 	if len(data) > 0 {
-		s.LastByteAt.Store(now.UnixNano())
+		s.lastByteAt.Store(&now)
 	}
 	rest := data
 	for len(rest) > 0 {
@@ -117,7 +128,7 @@
 	s.transferEncoded = false
 	s.contentLength = unknownLength
 	s.line = s.line[:0]
-	s.startedAt.Store(now.UnixNano())
+	s.startedAt.Store(&now)
 	s.Started.Add(1)
 }
 
--- /dev/null
+++ b/internal/socket/conn.go
@@ -0,0 +1,51 @@
+package socket
+
+import (
+	"net"
+	"time"
+
+	"cindersaddle/internal/fault"
+)
+
+// ReadConn reads from a connection, and again after transient errors, until its read deadline. call is for fault injection.
+func ReadConn(conn net.Conn, buffer []byte, call fault.Call) (int, error) {
+	for {
+		n, err := readOnce(conn, buffer, call)
+		if n > 0 || !Transient(err) {
+			return n, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func readOnce(conn net.Conn, buffer []byte, call fault.Call) (int, error) {
+	if err := fault.Injected(call); err != nil {
+		return 0, err
+	}
+	return conn.Read(buffer[:fault.Shortened(call, len(buffer))])
+}
+
+// WriteConn writes all bytes to a connection, and goes on after transient errors, until its write deadline. With an error it
+// returns how many bytes the kernel has accepted. call is for fault injection.
+func WriteConn(conn net.Conn, data []byte, call fault.Call) (written int, err error) {
+	for {
+		n, err := writeOnce(conn, data[written:], call)
+		written += n
+		switch {
+		case err == nil && written == len(data):
+			return written, nil
+		case err == nil:
+			continue
+		case !Transient(err):
+			return written, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func writeOnce(conn net.Conn, data []byte, call fault.Call) (int, error) {
+	if err := fault.Injected(call); err != nil {
+		return 0, err
+	}
+	return conn.Write(data[:fault.Shortened(call, len(data))])
+}
--- /dev/null
+++ b/internal/socket/errors.go
@@ -0,0 +1,57 @@
+package socket
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// exhaustionErrors are the errors of a machine or a process that has no descriptor, memory or port for another socket.
+var exhaustionErrors = []error{
+	syscall.EMFILE,
+	syscall.ENFILE,
+	syscall.ENOBUFS,
+	syscall.ENOMEM,
+	syscall.EADDRNOTAVAIL,
+}
+
+// transientErrors are the errors of a read or a write that say nothing of the connection: the same call can succeed a
+// moment later.
+var transientErrors = []error{
+	syscall.EINTR,
+	syscall.ENOBUFS,
+	syscall.ENOMEM,
+}
+
+// brokenListenerErrors are the errors of accept that say that the listener cannot be used any more. All others are those
+// of the machine's resources, or of the one connection that was about to be accepted: Linux passes errors that are
+// already pending on the new connection as those of accept.
+var brokenListenerErrors = []error{
+	net.ErrClosed,
+	syscall.EBADF,
+	syscall.EFAULT,
+	syscall.EINVAL,
+	syscall.ENOTSOCK,
+}
+
+// retryPause is the time between two tries of a call that failed with a transient error.
+const retryPause = time.Millisecond
+
+// Exhausted reports whether err means that the machine or the process has no resources for another socket.
+func Exhausted(err error) bool { return isAny(err, exhaustionErrors) }
+
+// Transient reports whether a read or a write that failed with err may be tried again on the same connection.
+func Transient(err error) bool { return isAny(err, transientErrors) }
+
+// ListenerBroken reports whether err, which accept returned, means that no connection will be accepted any more.
+func ListenerBroken(err error) bool { return isAny(err, brokenListenerErrors) }
+
+func isAny(err error, candidates []error) bool {
+	for _, candidate := range candidates {
+		if errors.Is(err, candidate) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"cindersaddle/internal/fault"
 	"cindersaddle/internal/http1"
 	"cindersaddle/internal/socket"
 )
@@ -18,6 +19,23 @@
 	idleSince time.Time // of an idle one
 }
 
+// newServerConn returns a connection that was just opened.
+func newServerConn(conn net.Conn, endpoint *Endpoint, address *string) *serverConn {
+	c := &serverConn{Conn: conn, endpoint: endpoint, address: address}
+	c.reader = http1.NewResponseReader(c)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(buffer []byte) (int, error) {
+	return socket.ReadConn(c.Conn, buffer, fault.Receive)
+}
+
+// Write implements net.Conn.
+func (c *serverConn) Write(data []byte) (int, error) {
+	return socket.WriteConn(c.Conn, data, fault.Send)
+}
+
 // stale reports whether the server has restarted or moved since the connection was opened: it leads to the old one, and
 // may look open all the same.
 func (c *serverConn) stale() bool { return c.address != c.endpoint.Address.Load() }
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"cindersaddle/internal/http1"
+	"cindersaddle/internal/fault"
 	"cindersaddle/internal/socket"
 )
 
@@ -30,6 +30,9 @@
 
 func (p *Pool) dial(ctx context.Context, endpoint *Endpoint, address *string, deadline time.Time) (*serverConn, error) {
 	dialer := net.Dialer{Timeout: p.connectTimeout, Deadline: deadline, KeepAlive: -1}
+	if err := fault.Injected(fault.Connect); err != nil {
+		return nil, err
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", *address)
 	if err != nil {
 		return nil, err
@@ -37,5 +40,5 @@
 	if p.AfterDial != nil {
 		p.AfterDial()
 	}
-	return &serverConn{Conn: conn, reader: http1.NewResponseReader(conn), endpoint: endpoint, address: address}, nil
+	return newServerConn(conn, endpoint, address), nil
 }
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -91,7 +91,7 @@
 	if w.abandoned.Load() { // checked after the deadline is set: abandon stores the flag before it ends the deadline
 		return exchange.ErrAbandoned
 	}
-	_, err := w.conn.Conn.Write(p)
+	_, err := w.conn.Write(p)
 	return err
 }
 
