Let steps of the wall clock neither warm up servers nor hide restarts

After a step forward before a list, a server that had just started counted as warm and got its full part; after a step back, a restart had an earlier time and was not noticed, so that connections to the previous process were used. A new process took the times that the previous one had learned, an hour off, for its own.

Change: startTimes notices steps when a list comes and converts a start time once, to the latest moment that is possible; any new start time is a restart; the state that is handed over says how far the wall clock is ahead, and its times are shifted by that. Without a step nothing changes. A process that starts after a step knows no other clock and takes the listed time as it is.

--- a/balance/transfer.go
+++ b/balance/transfer.go
@@ -73,6 +73,32 @@
 	ScoredAt  []Milliseconds
 }
 
+// ShiftTimes adds to all points in time, for a process whose clock differs from that of the one that exported
+// the state.
+func (s *LearnedState) ShiftTimes(by Milliseconds) {
+	for _, moment := range []*Milliseconds{&s.Started, &s.AnsweredAt, &s.AnswersAt, &s.Admitted} {
+		*moment += by
+	}
+	for i := range s.Classes {
+		s.Classes[i].FailedAt += by
+	}
+	for i := range s.Servers {
+		s.Servers[i].shiftTimes(by)
+	}
+}
+
+func (ep *LearnedEndpoint) shiftTimes(by Milliseconds) {
+	moments := []*Milliseconds{
+		&ep.LastErr, &ep.RestUntil, &ep.ColdSince, &ep.TokensAt, &ep.HeardAt, &ep.SlowUntil,
+	}
+	for _, moment := range moments {
+		*moment += by
+	}
+	for i := range ep.ScoredAt {
+		ep.ScoredAt[i] += by
+	}
+}
+
 // ExportState returns what was learned for a process that takes over. It leaves half of the tokens for
 // endpoints that warm up to this process: until it ends, both processes act as one sidecar.
 func (b *Balancer) ExportState(now Milliseconds) LearnedState {
@@ -233,7 +259,8 @@
 	ep.lastResponseAt = max(0, pastTime(state.HeardAt, now))
 	ep.ejectedUntil = validOr(state.RestUntil, 0, now+maxImportedDelay)
 	ep.slowUntil = validOr(state.SlowUntil, 0, now+maxImportedDelay)
-	if since := pastTime(state.ColdSince, now); since >= ep.warmUpSince { // else the endpoint list has a later start
+	// Otherwise the endpoint list has a later start.
+	if since := pastTime(state.ColdSince, now); since >= ep.warmUpSince {
 		ep.warmUpSince = since
 		ep.slowStartTokens = validOr(state.Tokens, 0, maxImportedRecent)
 		ep.tokensUpdatedAt = max(0, pastTime(state.TokensAt, now))
--- a/internal/eventloop/clock.go
+++ b/internal/eventloop/clock.go
@@ -13,7 +13,7 @@
 
 // newClock returns a clock with the given origin.
 func newClock(started time.Time) clock {
-	return clock{started: started, epoch: float64(started.UnixMicro()) / 1000}
+	return clock{started: started, epoch: wallMilliseconds(started)}
 }
 
 // update sets now to the present moment.
--- a/internal/eventloop/endpoints.go
+++ b/internal/eventloop/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/membership"
@@ -22,6 +23,7 @@
 		revision: ev.list.Revision,
 		complete: l.list.complete || kind != balance.UpdateCachedSnapshot || ev.list.Complete,
 	}
+	l.observeClocks()
 	update := balance.EndpointUpdate{Kind: kind, Endpoints: l.applyMembers(ev.list.Members)}
 	if kind != balance.UpdateDelta {
 		l.removeUnlisted(ev.list.Members)
@@ -30,6 +32,12 @@
 	l.notifyBalancer(update)
 }
 
+// observeClocks notices steps of the wall clock.
+func (l *Loop) observeClocks() {
+	moment := time.Now()
+	l.starts.observe(l.clock.milliseconds(moment), wallMilliseconds(moment))
+}
+
 // applyMembers adds, updates and removes the listed endpoints, and returns them as the balancer needs them.
 func (l *Loop) applyMembers(members []membership.Member) []balance.Endpoint {
 	var listed []balance.Endpoint
@@ -68,12 +76,15 @@
 		endpoint = l.endpoints.add(member.ID)
 	}
 	address := endpoint.Address.Load()
-	if address == nil || member.UpSince > endpoint.StartedAt || *address != member.HostPort {
+	restarted := member.UpSince > 0 && member.UpSince != endpoint.Member.UpSince // less, if the wall clock was set back
+	if restarted || address == nil {
+		endpoint.StartedAt = l.starts.loopTime(member.UpSince, l.clock.now)
+	}
+	if address == nil || restarted || *address != member.HostPort {
 		current := strings.Clone(member.HostPort) // a substring would keep the text of the whole list in memory
 		endpoint.Address.Store(&current)
 		l.upstreamClient.CloseIdle(endpoint) // they lead to the previous process
 	}
-	endpoint.StartedAt = member.UpSince
 	endpoint.Member = member.Clone()
 	endpoint.Closed.Store(member.State() != balance.Ready)
 	return endpoint
@@ -100,7 +111,7 @@
 	return balance.Endpoint{
 		ID:          endpoint.ID,
 		State:       member.State(),
-		StartedAt:   max(0, member.UpSince),
+		StartedAt:   endpoint.StartedAt,
 		Rating:      member.Size,
 		Cell:        member.Cell,
 		Zone:        indexOrUnknown(l.cfg.ZoneIndex, member.Locality),
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -57,6 +57,7 @@
 	localEvents []event // posted by the loop itself, to be handled right after the present event
 
 	clock     clock
+	starts    startTimes
 	timers    timerQueue
 	requests  requestIndex
 	endpoints endpointTable
--- a/internal/eventloop/state.go
+++ b/internal/eventloop/state.go
@@ -33,6 +33,7 @@
 
 // exportState returns what the next process needs: the endpoint list and what the balancer has learned.
 func (l *Loop) exportState() *upgrade.State {
+	l.observeClocks()
 	state := &upgrade.State{
 		Version:   upgrade.StateVersion,
 		Listen:    l.cfg.Listen,
@@ -41,6 +42,7 @@
 		Classes:   l.settings.ClassNames,
 		Tenants:   l.settings.TenantNames,
 		Memory:    l.balancer.ExportState(l.clock.now),
+		WallAhead: l.starts.wallAhead(),
 	}
 	for _, endpoint := range l.endpoints.sorted() {
 		state.List.Members = append(state.List.Members, endpoint.Member)
@@ -53,6 +55,8 @@
 	if l.predecessor == nil {
 		return
 	}
+	// Its times are on the clock of the previous process, which does not follow steps of the wall clock.
+	l.predecessor.Memory.ShiftTimes(l.predecessor.WallAhead - l.starts.wallAhead())
 	l.balancer.ImportState(
 		l.clock.now,
 		l.predecessor.Memory,
--- /dev/null
+++ b/internal/http1/clock_test.go
@@ -0,0 +1,24 @@
+package http1
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestScannerTimesAreMonotonic checks that the times of a request do not move when the wall clock is stepped.
+func TestScannerTimesAreMonotonic(t *testing.T) {
+	var scanner RequestScanner
+	now := time.Now()
+	scanner.Scan([]byte("GET /api"), now)
+	began, _ := scanner.Partial()
+	lastByte, any := scanner.LastByteAt()
+	if !any {
+		t.Error("no byte has arrived")
+	}
+	for name, moment := range map[string]time.Time{"beginning": began, "last byte": lastByte} {
+		if !moment.Equal(now) || !strings.Contains(moment.String(), " m=") {
+			t.Errorf("%s of the request at %v, want %v with its monotonic reading", name, moment, now)
+		}
+	}
+}
--- a/internal/upgrade/state.go
+++ b/internal/upgrade/state.go
@@ -19,6 +19,9 @@
 	Classes   []string
 	Tenants   []string
 	Memory    balance.LearnedState
+	// WallAhead is by how many milliseconds the wall clock is ahead of the clock of Memory, because it was stepped. Earlier
+	// versions do not send it.
+	WallAhead float64
 }
 
 // VersionError reports a predecessor of another version of the handover.
--- a/internal/upstream/endpoint.go
+++ b/internal/upstream/endpoint.go
@@ -15,7 +15,7 @@
 
 	// The fields below are the event loop's.
 
-	StartedAt float64           // when the server last started, in milliseconds as listed
+	StartedAt float64           // when the server last started, in milliseconds of the loop's clock; 0: long ago
 	Member    membership.Member // as last listed
 
 	// Address is replaced by another pointer with each new address and each restart of the server: connections with
