--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -42,7 +42,7 @@
 	tenants        []*requestCounter // the last is for requests without a tenant
 
 	busyFraction           float64      // recent fraction of checked endpoints that had requests in flight
-	timePerInFlight        Milliseconds // mean latency divided by requests in flight, the answered one included
+	timePerInFlight        Milliseconds // mean latency / requests in flight, the answered one included
 	timePerInFlightSamples float64      // samples of this mean; the initial guess counts as one
 
 	lastAdmissionAt        Milliseconds // when the last request arrived
--- a/balance/config.go
+++ b/balance/config.go
@@ -79,7 +79,7 @@
 	RatingNone        RatingKind = iota // nothing; it is 1
 	RatingNominal                       // registered capacity
 	RatingApproximate                   // approximate capacity
-	RatingLive                          // capacity divided by 1 + requests in flight per core, sampled earlier
+	RatingLive                          // capacity / (1 + requests in flight per core), sampled earlier
 )
 
 // Config holds the settings of one sidecar.
@@ -116,9 +116,9 @@
 	DrainGrace            Milliseconds // attempts to a draining or removed endpoint must stop within this
 	WarmUpInitialFraction float64      // least fraction of its capacity that an endpoint starts with
 	WarmUpDuration        Milliseconds // duration of an endpoint's warm-up
-	OverloadFactor        float64      // an endpoint that warms up fails above this multiple of its capacity ...
+	OverloadFactor        float64      // a warming-up endpoint fails above this multiple of its capacity
 	OverloadWindow        Milliseconds // ... if that lasts this long
-	MaxPollInterval       Milliseconds // without a subscription, the endpoint list has to be polled this often
+	MaxPollInterval       Milliseconds // without a subscription, how often the list has to be polled
 	AnswerGrace           Milliseconds // an answer this long after the client's deadline still counts
 
 	ScoreWeights ScoreWeights
@@ -129,7 +129,9 @@
 type ScoreWeights struct{ Whole, WorstWindow, WorstClass, WorstTenant, Nines float64 }
 
 // Costs are subtracted from the result, each per unit of what it names.
-type Costs struct{ CrossZone, WastedWork, NewConnection, HealthCheck, PeerTraffic, LateFailure, OpenConnection float64 }
+type Costs struct {
+	CrossZone, WastedWork, NewConnection, HealthCheck, PeerTraffic, LateFailure, OpenConnection float64
+}
 
 // includes reports whether an endpoint knows the idempotency keys that another one has seen.
 func (scope DedupScope) includes(seen, ep *endpoint) bool {
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -35,7 +35,7 @@
 	ejections            int          // consecutive ejections
 	unreachable          bool         // the last health check got no answer
 	connectErrors        int          // consecutive attempts that could not connect
-	slowUntil            Milliseconds // the last answer was slow: avoid the endpoint for sticky keys until then
+	slowUntil            Milliseconds // avoid the endpoint for sticky keys until then: it was slow
 	classScores          []classScore // by class; the last is for classes that are no longer configured
 
 	// Slow start.
--- a/balance/events.go
+++ b/balance/events.go
@@ -80,18 +80,20 @@
 	NotAttempted         // nothing was sent
 )
 
-// resultNames are the names of the results in logs, in their order.
-var resultNames = [...]string{
-	"ok", "server error", "rejected", "timed out", "connect failed", "connection reset", "cancelled", "not attempted",
+// resultNames are the names of the results in logs.
+var resultNames = map[Result]string{
+	OK:            "ok",
+	ServerError:   "server error",
+	Rejected:      "rejected",
+	TimedOut:      "timed out",
+	ConnectFailed: "connect failed",
+	ConnReset:     "connection reset",
+	Cancelled:     "cancelled",
+	NotAttempted:  "not attempted",
 }
 
 // String returns the name of a result for logs.
-func (r Result) String() string {
-	if int(r) < len(resultNames) {
-		return resultNames[r]
-	}
-	return "unknown result"
-}
+func (r Result) String() string { return resultNames[r] }
 
 // NeverExecuted reports whether the result proves that the attempt was not executed.
 func (r Result) NeverExecuted() bool { return r == Rejected || r == ConnectFailed || r == NotAttempted }
--- a/balance/request.go
+++ b/balance/request.go
@@ -12,7 +12,7 @@
 	overdue        bool // it takes far longer than is usual in its class
 	countedAsLoad  bool // it is part of the endpoint's load, or of the overdue load
 	resultRecorded bool // its answer has started, and the result was recorded then
-	abandoned      bool // it was cancelled because the endpoint answered newer attempts, or its zone is unreachable
+	abandoned      bool // cancelled: the endpoint answered newer attempts, or its zone is unreachable
 	// inFlightBefore is the number of requests in flight at the endpoint before the attempt, according to a
 	// fresh load report, or unknownInFlight.
 	inFlightBefore float64
--- a/balance/stats.go
+++ b/balance/stats.go
@@ -84,7 +84,8 @@
 func (b *Balancer) recordAnswerLatency(attempt *attempt, latency, objective Milliseconds) {
 	if attempt.inFlightBefore >= 0 {
 		b.timePerInFlightSamples = min(b.timePerInFlightSamples+1, averagingSamples)
-		b.timePerInFlight += (latency/(attempt.inFlightBefore+1) - b.timePerInFlight) / b.timePerInFlightSamples
+		sample := latency / (attempt.inFlightBefore + 1)
+		b.timePerInFlight += (sample - b.timePerInFlight) / b.timePerInFlightSamples
 	}
 	b.lastAnswerAt = b.now
 	b.recordLateness(latency > objective)
