Let neither a log that nobody reads nor a file error that passes stop the sidecar

With a pipe that nobody reads it waited for ever and with it every request; with a pipe whose reader had ended, Go ended the process by SIGPIPE. A configuration that could not be read for want of descriptors, or by EIO, was turned down, and with it the new address of discovery.

SIGPIPE is ignored. The configuration is read again for a second after errors that are not those of the file.

--- a/cmd/cindersaddle/main.go
+++ b/cmd/cindersaddle/main.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"cindersaddle/internal/config"
+	"cindersaddle/internal/logging"
 	"cindersaddle/internal/sidecar"
 )
 
@@ -32,7 +32,9 @@
 	cfg.Limits.Apply()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	signal.Ignore(syscall.SIGPIPE) // whoever reads the log may end; Go ends the process for it otherwise
+	log, logWriter := logging.New(os.Stderr)
+	defer logWriter.Close()
 	return sidecar.Run(ctx, cfg, reloads, log)
 }
 
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -3,6 +3,11 @@
 import (
 	"errors"
 	"os"
+	"syscall"
+	"time"
+
+	"cindersaddle/internal/fault"
+	"cindersaddle/internal/socket"
 )
 
 // Environment variables. Each of the overrides replaces a key of the file.
@@ -24,7 +29,7 @@
 	if path == "" {
 		return nil, errPathNotSet
 	}
-	text, err := os.ReadFile(path)
+	text, err := readFile(path)
 	if err != nil {
 		return nil, &FileError{Path: path, Err: err}
 	}
@@ -36,6 +41,33 @@
 	return cfg, nil
 }
 
+const (
+	// readAttempts and readPause bound the time in which a file is read in spite of errors that pass: a configuration that
+	// is turned down is not offered again.
+	readAttempts = 20
+	readPause    = 50 * time.Millisecond
+)
+
+// readFile reads a file, and again after errors that are not those of the file: a machine without descriptors or memory, or
+// a disk that fails to read.
+func readFile(path string) (text []byte, err error) {
+	for range readAttempts {
+		text, err = readFileOnce(path)
+		if !socket.Exhausted(err) && !errors.Is(err, syscall.EIO) && !errors.Is(err, syscall.EINTR) {
+			return text, err
+		}
+		time.Sleep(readPause)
+	}
+	return text, err
+}
+
+func readFileOnce(path string) ([]byte, error) {
+	if err := fault.Injected(fault.ReadFile); err != nil {
+		return nil, err
+	}
+	return os.ReadFile(path)
+}
+
 // environmentWithPath returns an environment that holds the path of the configuration file and nothing else.
 func environmentWithPath(path string) func(string) string {
 	return func(name string) string {
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -61,21 +61,27 @@
 // startSidecar starts a sidecar of the fleet, which is killed at the end of the test.
 func (f *testFleet) startSidecar(t *testing.T, name string, settings any) *standin.Process {
 	t.Helper()
-	listen, err := standin.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
 	dir := filepath.Join(f.dir, name)
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	process, err := standin.StartProcess(program, dir, standin.ProcessConfig{
-		Name: name, Listen: listen, Discovery: f.discovery.Addr(), Seed: "8c1f30d27a5be964",
-		Limits: standin.ProcessLimits{Cores: 1, MemoryMB: 192, Sockets: 1024}, Known: f.discovery.List(), Settings: settings,
-	})
+	process, err := standin.StartProcess(program, dir, f.config(t, name, settings))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(process.Kill)
 	return process
 }
+
+// config returns the configuration of a sidecar of the fleet.
+func (f *testFleet) config(t *testing.T, name string, settings any) standin.ProcessConfig {
+	t.Helper()
+	listen, err := standin.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return standin.ProcessConfig{
+		Name: name, Listen: listen, Discovery: f.discovery.Addr(), Seed: "8c1f30d27a5be964",
+		Limits: standin.ProcessLimits{Cores: 1, MemoryMB: 192, Sockets: 1024}, Known: f.discovery.List(), Settings: settings,
+	}
+}
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -73,15 +73,22 @@
 // StartProcess starts a sidecar with a configuration, whose file and log are in dir, and waits until it is ready.
 // environment is added to that of this process.
 func StartProcess(program, dir string, config ProcessConfig, environment ...string) (*Process, error) {
-	p := &Process{Config: config, program: program, dir: dir, exited: make(chan struct{})}
-	if err := p.WriteConfig(config); err != nil {
-		return nil, err
-	}
-	log, err := os.OpenFile(p.LogPath(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	path := filepath.Join(dir, config.Name+".log")
+	log, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("open the log of %s: %w", config.Name, err)
 	}
-	p.log = log
+	return StartProcessWithLog(program, dir, config, log, environment...)
+}
+
+// StartProcessWithLog is StartProcess with a file that takes the log, which the process closes at its end.
+func StartProcessWithLog(
+	program, dir string, config ProcessConfig, log *os.File, environment ...string,
+) (*Process, error) {
+	p := &Process{Config: config, program: program, dir: dir, log: log, exited: make(chan struct{})}
+	if err := p.WriteConfig(config); err != nil {
+		return nil, err
+	}
 	p.command = exec.Command(program)
 	p.command.Stderr = log
 	p.command.Env = append(os.Environ(), "NODE_CONFIG="+p.configPath(), "TMPDIR="+dir)
