--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -10,8 +10,8 @@
 	"cindersaddle/internal/standin"
 )
 
-// program is the path of the sidecar that the tests run.
-var program string
+// program is the path of the sidecar as it is shipped, faultProgram that of one with the seam of package fault.
+var program, faultProgram string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "soak")
@@ -19,7 +19,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	program, err = standin.BuildSidecar(dir)
+	program, err = standin.BuildSidecar(dir, "")
+	if err == nil {
+		faultProgram, err = standin.BuildSidecar(dir, "faults")
+	}
 	code := 1
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -24,6 +24,8 @@
 	changed  chan struct{} // closed at the next change of list or state
 	silent   bool
 	told     []Notice
+	untold   []Notice // made while silent
+	from     time.Time
 }
 
 // Notice is a change of a server that discovery had for its sidecar.
@@ -60,7 +62,12 @@
 	defer d.mu.Unlock()
 	d.revision++
 	d.members[member.ID] = member
-	d.told = append(d.told, Notice{Server: member.ID, Phase: member.Phase, At: time.Now()})
+	notice := Notice{Server: member.ID, Phase: member.Phase, At: time.Now()}
+	if d.silent {
+		d.untold = append(d.untold, notice)
+	} else {
+		d.told = append(d.told, notice)
+	}
 	d.wakeLocked()
 }
 
@@ -69,14 +76,34 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.silent = silent
+	if !silent {
+		for _, notice := range d.untold {
+			notice.At = time.Now()
+			d.told = append(d.told, notice)
+		}
+		d.untold = nil
+	}
 	d.wakeLocked()
 }
 
-// Notices returns the changes so far.
+// CountNoticesFrom sets a time before which nothing counts as told: the sidecar has to hear of this agent first.
+func (d *Discovery) CountNoticesFrom(from time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.from = from
+}
+
+// Notices returns the changes that the sidecar was told so far.
 func (d *Discovery) Notices() []Notice {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return append([]Notice(nil), d.told...)
+	notices := append([]Notice(nil), d.told...)
+	for i := range notices {
+		if notices[i].At.Before(d.from) {
+			notices[i].At = d.from
+		}
+	}
+	return notices
 }
 
 // List returns the present list.
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -50,10 +50,10 @@
 	exitErr error
 }
 
-// BuildSidecar builds the sidecar into a directory and returns the path of the program.
-func BuildSidecar(dir string) (string, error) {
-	program := filepath.Join(dir, "cindersaddle")
-	build := exec.Command("go", "build", "-o", program, "cindersaddle/cmd/cindersaddle")
+// BuildSidecar builds the sidecar into a directory, with build tags or as it is shipped, and returns the path of the program.
+func BuildSidecar(dir, tags string) (string, error) {
+	program := filepath.Join(dir, "cindersaddle"+tags)
+	build := exec.Command("go", "build", "-tags", tags, "-o", program, "cindersaddle/cmd/cindersaddle")
 	if output, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("build the sidecar: %w\n%s", err, output)
 	}
@@ -105,6 +105,12 @@
 	return p, p.awaitReady()
 }
 
+// Name returns the name of the sidecar.
+func (p *Process) Name() string { return p.Config.Name }
+
+// Addr returns the clients' address.
+func (p *Process) Addr() string { return p.Config.Listen }
+
 func (p *Process) configPath() string { return filepath.Join(p.dir, p.Config.Name+".json") }
 
 // LogPath returns the path of the log.
@@ -169,10 +175,12 @@
 func (p *Process) Wait(timeout time.Duration) (ended bool, exit error) {
 	select {
 	case <-p.exited:
-		return true, p.exitErr
 	case <-time.After(timeout):
+	}
+	if !p.Ended() { // also where both have come
 		return false, nil
 	}
+	return true, p.exitErr
 }
 
 // Kill ends the process at once and waits for its end.
