Wait for an address that the process before still has, and test errors of servers' sockets

Reads, writes and connects to servers had no test of their errors.

Tests for the exchange with a server under errors that pass and short transfers, and for what the errors of connect mean.

--- a/internal/downstream/faults_test.go
+++ b/internal/downstream/faults_test.go
@@ -102,13 +102,7 @@
 	const waiting = 5
 	inner := sidecartest.Listen(t)
 	listener := NewListener(inner, NewConnTracker(100), upstream.NewPool(time.Second, time.Second, 0, 38))
-	for range waiting {
-		conn, err := net.Dial("tcp", inner.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-	}
+	dialQueued(t, inner, waiting)
 	go listener.Drain(t.Context())
 	sidecartest.WaitFor(t, "the drain begins", listener.draining.Load)
 	failAfter(t, call, 2, 2, errno) // the first accept is interrupted, the next one drains a connection
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -17,13 +17,7 @@
 	conns := NewConnTracker(100)
 	listener := NewListener(inner, conns, upstream.NewPool(time.Second, time.Second, 0, 38))
 	const queued = 20
-	for range queued {
-		client, err := net.Dial("tcp", inner.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-	}
+	dialQueued(t, inner, queued)
 	go listener.Drain(t.Context())
 	accepted := 0
 	for {
@@ -48,13 +42,7 @@
 	const waiting = 3
 	inner := sidecartest.Listen(t)
 	listener := NewListener(inner, NewConnTracker(100), upstream.NewPool(time.Second, time.Second, 0, 38))
-	for range waiting {
-		conn, err := net.Dial("tcp", inner.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-	}
+	dialQueued(t, inner, waiting)
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	listener.Drain(ended) // has the next Accept drain the queue, and does not wait
@@ -75,3 +63,15 @@
 	}
 	listener.Drain(t.Context()) // returns, as all connections are tracked
 }
+
+// dialQueued opens connections that wait in the queue of a listener.
+func dialQueued(t *testing.T, listener net.Listener, count int) {
+	t.Helper()
+	for range count {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -95,17 +95,17 @@
 // is shared with the other process of an upgrade.
 func (env *environment) listen(cfg *config.Config) (err error) {
 	if cfg.AdminListen == "" {
-		if env.clients, err = net.Listen("tcp", cfg.Listen); err != nil {
+		if env.clients, err = listenPatiently(func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) }); err != nil {
 			return fmt.Errorf("clients' address %q: %w", cfg.Listen, err)
 		}
 		return nil
 	}
 	if env.clients == nil {
-		if env.clients, err = downstream.ListenShared(cfg.Listen); err != nil {
+		if env.clients, err = listenPatiently(func() (net.Listener, error) { return downstream.ListenShared(cfg.Listen) }); err != nil {
 			return fmt.Errorf("clients' address %q: %w", cfg.Listen, err)
 		}
 	}
-	if env.admin, err = net.Listen("tcp", cfg.AdminListen); err != nil {
+	if env.admin, err = listenPatiently(func() (net.Listener, error) { return net.Listen("tcp", cfg.AdminListen) }); err != nil {
 		env.clients.Close()
 		return fmt.Errorf("admin address %q: %w", cfg.AdminListen, err)
 	}
--- /dev/null
+++ b/internal/upstream/faults_test.go
@@ -0,0 +1,63 @@
+//go:build faults
+
+package upstream
+
+import (
+	"syscall"
+	"testing"
+
+	"cindersaddle/balance"
+	"cindersaddle/internal/fault"
+	"cindersaddle/internal/sidecartest"
+)
+
+// TestExchangeGoesOnAfterErrors checks that an attempt is neither failed nor written twice because reads and writes fail for
+// want of memory, are interrupted, or transfer a part only.
+func TestExchangeGoesOnAfterErrors(t *testing.T) {
+	plan, err := fault.ParsePlan("seed=7 rate=0.3 short=0.9 receive=EINTR,ENOBUFS,ENOMEM send=EINTR,ENOBUFS,ENOMEM")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := sidecartest.NewScriptedServer(t, sidecartest.Respond(200, "served"))
+	client := newTestClient(t, 500)
+	fault.Use(plan)
+	t.Cleanup(func() { fault.Use(nil) })
+	const attempts = 20
+	for range attempts {
+		result := expectOutcome(t, client, newAttempt(newEndpoint(server.Addr), sidecartest.Timeout), balance.OK)
+		if result.Response == nil || string(result.Response.Body) != "served" {
+			t.Fatalf("got %+v, want the body \"served\"", result)
+		}
+	}
+	if requests := sidecartest.RequestsTo(server); len(requests) != attempts {
+		t.Errorf("the server received %d requests, want %d", len(requests), attempts)
+	}
+}
+
+// TestConnectErrors checks which errors of connect count against the server, and that none leaves a connection counted.
+func TestConnectErrors(t *testing.T) {
+	server := sidecartest.NewScriptedServer(t, sidecartest.Respond(200, "served"))
+	for errno, want := range map[syscall.Errno]balance.Result{
+		syscall.ECONNREFUSED:  balance.ConnectFailed,
+		syscall.ETIMEDOUT:     balance.ConnectFailed,
+		syscall.EHOSTUNREACH:  balance.ConnectFailed,
+		syscall.ENETUNREACH:   balance.ConnectFailed,
+		syscall.EMFILE:        balance.NotAttempted,
+		syscall.ENFILE:        balance.NotAttempted,
+		syscall.ENOBUFS:       balance.NotAttempted,
+		syscall.EADDRNOTAVAIL: balance.NotAttempted,
+	} {
+		client := newTestClient(t, 500)
+		fault.Use(&fault.Plan{Decide: func(call fault.Call) error {
+			if call == fault.Connect {
+				return errno
+			}
+			return nil
+		}})
+		result := client.Do(newAttempt(newEndpoint(server.Addr), sidecartest.Timeout))
+		fault.Use(nil)
+		if result.Outcome != want || !result.Outcome.NeverExecuted() || client.pool.open != 0 {
+			t.Errorf("%v: %v with %d connections open, want %v and none", errno, result.Outcome, client.pool.open, want)
+		}
+	}
+}
