--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -213,7 +213,7 @@
 
 // judgeDrains checks that servers get nothing new once their sidecars know that they drain or are gone.
 func (j *judge) judgeDrains() {
-	slices.SortFunc(j.Told, func(a, b Told) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(j.Told, func(a, b Told) int { return a.At.Compare(b.At) }) // of one moment, the later one counts
 	grace := time.Duration(j.Plan.Settings.Rules.DrainGrace*float64(time.Millisecond)) + drainSlack + recordSlack
 	for _, attempt := range j.Attempts {
 		exchange := j.exchanges[attempt.TraceID]
--- /dev/null
+++ b/internal/soak/rules_test.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"cindersaddle/internal/standin"
+)
+
+// TestReturnOfAServerCountsAtTheSameMoment checks that a server may be used which a new discovery tells to be gone and ready again
+// at one moment, and only if ready comes last.
+func TestReturnOfAServerCountsAtTheSameMoment(t *testing.T) {
+	began := time.Now()
+	at := began.Add(time.Second)
+	for _, test := range []struct {
+		phases []string
+		broken bool
+	}{
+		{[]string{"gone", "ready"}, false}, {[]string{"ready", "gone"}, true},
+	} {
+		records := &Records{Plan: &Plan{Settings: defaultSettings(), Length: time.Second, Servers: 1}, BeganAt: began}
+		for i := range 40 { // so many, and in no order, that an unstable sort mixes them
+			records.Told = append(records.Told, Told{Sidecar: "n1", Server: "s-0", Phase: "ready", At: at.Add(time.Duration(i*7919%41-20) * time.Millisecond)})
+			for _, phase := range test.phases {
+				records.Told = append(records.Told, Told{Sidecar: "n0", Server: "s-0", Phase: phase, At: at})
+			}
+		}
+		sent := at.Add(time.Second)
+		request := standin.Request{TraceID: "n0.1.x", Deadline: time.Second}
+		records.Exchanges = []standin.Exchange{{Request: request, Sidecar: "n0", BeganAt: sent, SentAt: sent, EndedAt: sent, Status: 200}}
+		records.Attempts = []standin.Attempt{{Server: "s-0", TraceID: request.TraceID, FirstByteAt: sent, LastByteAt: sent, EndedAt: sent, End: standin.EndServed}}
+		if broken := len(Judge(records)) > 0; broken != test.broken {
+			t.Errorf("%v: broken %v, want %v", test.phases, broken, test.broken)
+		}
+	}
+}
