--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -102,38 +102,42 @@
 	return ResponseReader{Reader: bufio.NewReader(limit), limit: limit}
 }
 
-// Next reads the response to a request with the given method, and its body unless that is long. Of a long body, body
-// is the first part, and the caller reads the rest from resp.Body.
+// Response is a response as Next reads it.
+type Response struct {
+	Head      *http.Response
+	Body      []byte // complete, or the first part of a streamed one
+	Streaming bool   // the body is long: the rest of it is still to be read from Head.Body
+}
+
+// Next reads the response to a request with the given method, and its body unless that is long.
 //
-// A body with an announced length is long if it exceeds MaxBufferedBody; body is empty then. A body of unknown length
+// A body with an announced length is long if it exceeds MaxBufferedBody; Body is empty then. A body of unknown length
 // is long if it turns out to exceed MaxBufferedBody, or, in a response with status 200, if it does not arrive
 // completely within the deadline that observer.ShortenDeadline sets, as its length cannot be predicted. It is not long
 // if something else interrupts the read: observer.ShortenedDeadlineExpired tells.
 //
 // Next returns an error if the head is malformed, if a response with status 200 does not say where it ends, and if the
 // body ends early. It returns a *SizeError if the head is too large or the response announces more than MaxBody bytes.
-func (r ResponseReader) Next(method string, observer ResponseObserver) (
-	resp *http.Response, body []byte, long bool, err error,
-) {
-	resp, err = r.readHead(method)
+func (r ResponseReader) Next(method string, observer ResponseObserver) (Response, error) {
+	resp, err := r.readHead(method)
 	if err != nil {
-		return nil, nil, false, err
+		return Response{}, err
 	}
 	if bodyIgnored(resp) {
-		return resp, nil, false, nil
+		return Response{Head: resp}, nil
 	}
 	if resp.ContentLength > MaxBody { // fails before the client has read any of it
-		return nil, nil, false, &SizeError{Part: bodyPart, Limit: MaxBody}
+		return Response{}, &SizeError{Part: bodyPart, Limit: MaxBody}
 	}
 	if resp.StatusCode == http.StatusOK && !r.bufferHoldsBody(resp) {
 		observer.ResponseStarted()
 	}
 	r.limit.setLimit(bodyPart, maxChunkOverhead*MaxBufferedBody)
 	if resp.ContentLength > MaxBufferedBody {
-		return resp, nil, true, r.awaitBody()
+		return Response{Head: resp, Streaming: true}, r.awaitBody()
 	}
-	body, long, err = r.readBody(resp, observer)
-	return resp, body, long, err
+	body, long, err := r.readBody(resp, observer)
+	return Response{Head: resp, Body: body, Streaming: long}, err
 }
 
 // awaitBody waits for the first byte of a long body, which may never arrive, and lifts the limit for the rest.
--- a/internal/http1/response_test.go
+++ b/internal/http1/response_test.go
@@ -55,9 +55,9 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		reader := NewResponseReader(bytes.NewReader(text))
-		resp, body, _, err := reader.Next(http.MethodPost, IgnoreProgress{})
-		if resp == nil && err == nil || len(body) > MaxBufferedBody+1 {
-			t.Errorf("response %v with %d bytes of body, error %v", resp, len(body), err)
+		response, err := reader.Next(http.MethodPost, IgnoreProgress{})
+		if response.Head == nil && err == nil || len(response.Body) > MaxBufferedBody+1 {
+			t.Errorf("response %v with %d bytes of body, error %v", response.Head, len(response.Body), err)
 		}
 	})
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -97,7 +97,7 @@
 		return failedExchange(writeOutcome(attempt, err), err)
 	}
 	c.metrics.Attempts.Add(1)
-	response, err := conn.readResponse(attempt.Message.Method, deadlineObserver{attempt, conn})
+	response, err := conn.reader.Next(attempt.Message.Method, deadlineObserver{attempt, conn})
 	if err != nil {
 		return failedExchange(attempt.brokenOutcome(err), err)
 	}
@@ -110,7 +110,7 @@
 	request := attempt.Message.NewRequest(attempt.TimeAfterUpload, upload.source, upload.source.Length)
 	go upload.run(request, func() { c.uploadComplete(attempt, conn) })
 
-	response, err := conn.readResponse(attempt.Message.Method, uploadObserver{attempt})
+	response, err := conn.reader.Next(attempt.Message.Method, uploadObserver{attempt})
 	var end exchangeEnd
 	if err == nil {
 		end = c.conclude(attempt, conn, response)
@@ -135,15 +135,15 @@
 }
 
 // conclude returns the result that a response stands for. A streamed one has gone to the client when it returns.
-func (c *Client) conclude(attempt *Attempt, conn *serverConn, response serverResponse) exchangeEnd {
-	result := Result{Outcome: outcomeOf(response.head), LoadReport: loadReportFrom(response.head, c.loadFields)}
+func (c *Client) conclude(attempt *Attempt, conn *serverConn, response http1.Response) exchangeEnd {
+	result := Result{Outcome: outcomeOf(response.Head), LoadReport: loadReportFrom(response.Head, c.loadFields)}
 	if result.Outcome != balance.OK {
-		return exchangeEnd{result, !response.streaming && conn.reusableAfter(response)}
+		return exchangeEnd{result, !response.Streaming && conn.reusableAfter(response)}
 	}
-	response.head.Header.Del(LoadReportHeader)
-	http1.RemoveHopHeaders(response.head.Header)
-	if !response.streaming {
-		result.Response = response.forClient()
+	response.Head.Header.Del(LoadReportHeader)
+	http1.RemoveHopHeaders(response.Head.Header)
+	if !response.Streaming {
+		result.Response = forClient(response)
 		return exchangeEnd{result, conn.reusableAfter(response)}
 	}
 	err := stream(attempt, conn, response)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,17 +46,8 @@
 	return ok && socket.Peek(raw) == socket.Silent
 }
 
-// readResponse reads the response to a request.
-func (c *serverConn) readResponse(method string, observer http1.ResponseObserver) (serverResponse, error) {
-	head, body, streaming, err := c.reader.Next(method, observer)
-	if err != nil {
-		return serverResponse{}, err
-	}
-	return serverResponse{head: head, body: body, streaming: streaming}, nil
-}
-
 // reusableAfter reports whether the connection may carry another request after a response that was read completely.
 // Bytes that follow the response would be read as the next one.
-func (c *serverConn) reusableAfter(response serverResponse) bool {
-	return !response.head.Close && c.reader.Buffered() == 0
+func (c *serverConn) reusableAfter(response http1.Response) bool {
+	return !response.Head.Close && c.reader.Buffered() == 0
 }
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -54,7 +54,7 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.checkPath, *conn.address); err != nil {
 		return failedExchange(balance.ConnectFailed, err)
 	}
-	response, err := conn.readResponse(http.MethodGet, http1.IgnoreProgress{})
+	response, err := conn.reader.Next(http.MethodGet, http1.IgnoreProgress{})
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return failedExchange(balance.TimedOut, err)
 	}
@@ -65,12 +65,12 @@
 }
 
 // healthResult returns the result of a health check. The load report is in the header or in the body.
-func (c *Client) healthResult(response serverResponse) Result {
-	result := Result{Outcome: balance.ServerError, LoadReport: loadReportFrom(response.head, c.loadFields)}
+func (c *Client) healthResult(response http1.Response) Result {
+	result := Result{Outcome: balance.ServerError, LoadReport: loadReportFrom(response.Head, c.loadFields)}
 	if result.LoadReport == nil {
-		result.LoadReport = parseLoadReport(string(response.body), c.loadFields)
+		result.LoadReport = parseLoadReport(string(response.Body), c.loadFields)
 	}
-	if response.head.StatusCode == http.StatusOK {
+	if response.Head.StatusCode == http.StatusOK {
 		result.Outcome = balance.OK
 	}
 	return result
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -5,40 +5,34 @@
 	"time"
 
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/http1"
 )
 
 // unknownLengthGrace is how long the body of a response of unknown length may take, from its head on, to be read
 // completely. A slower one is streamed to the client, which waits for its first bytes.
 const unknownLengthGrace = 20 * time.Millisecond
 
-// serverResponse is a response as read from a connection.
-type serverResponse struct {
-	head      *http.Response
-	body      []byte // complete, or the first bytes of a streamed one
-	streaming bool   // the rest of the body is still to be read from head.Body
+// forClient returns a response as it goes to the client, with the body that was read.
+func forClient(response http1.Response) *exchange.Response {
+	return &exchange.Response{Status: http.StatusOK, Header: response.Head.Header, Body: response.Body}
 }
 
-// forClient returns the response as it goes to the client, with the body that was read.
-func (r serverResponse) forClient() *exchange.Response {
-	return &exchange.Response{Status: http.StatusOK, Header: r.head.Header, Body: r.body}
-}
-
-// forStreaming returns the response as it goes to the client, with a body that is read from the connection.
-func (r serverResponse) forStreaming(attempt *Attempt, conn *serverConn) *exchange.Response {
+// forStreaming returns a response as it goes to the client, with a body that is read from the connection.
+func forStreaming(response http1.Response, attempt *Attempt, conn *serverConn) *exchange.Response {
 	download := &exchange.Download{
-		FirstBytes:     r.body,
-		Body:           r.head.Body,
-		Length:         r.head.ContentLength,
+		FirstBytes:     response.Body,
+		Body:           response.Head.Body,
+		Length:         response.Head.ContentLength,
 		Cancel:         attempt.Cancel,
 		Done:           make(chan error, 1),
 		ExtendDeadline: func() { attempt.setReadDeadline(conn, time.Now().Add(exchange.StallTimeout)) },
 	}
-	return &exchange.Response{Status: http.StatusOK, Header: r.head.Header, Download: download}
+	return &exchange.Response{Status: http.StatusOK, Header: response.Head.Header, Download: download}
 }
 
 // stream lets the client read the response from the connection, and returns how that ended.
-func stream(attempt *Attempt, conn *serverConn, response serverResponse) error {
-	streamed := response.forStreaming(attempt, conn)
+func stream(attempt *Attempt, conn *serverConn, response http1.Response) error {
+	streamed := forStreaming(response, attempt, conn)
 	attempt.Observer.StreamStarted(attempt, streamed, time.Now())
 	select {
 	case err := <-streamed.Download.Done:
