Open the socket for upgrades again after an error, and give attempts never made no duration

An attempt that was not made ended at the zero time, with a large negative duration in the log.

Change: the socket is tried again each second, and each reason logged once. The balancer uses no duration of such an attempt.

--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -74,7 +74,7 @@
 	duration := ev.attempt.StreamLatency
 	if duration > 0 {
 		l.endStream(req, ev.result.Outcome)
-	} else {
+	} else if !ev.endedAt.IsZero() {
 		duration = l.clock.milliseconds(ev.endedAt) - ev.attempt.SentAt
 	}
 	l.logFailedAttempt(req, &ev, duration)
--- a/internal/upgrade/handover.go
+++ b/internal/upgrade/handover.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"cindersaddle/internal/config"
+	"cindersaddle/internal/timing"
 )
 
 const (
@@ -29,6 +30,8 @@
 	predecessorTimeout = 700 * time.Millisecond
 	// StateTimeout bounds the time in which the event loop of the predecessor exports its state.
 	StateTimeout = 400 * time.Millisecond
+	// socketRetryDelay is the pause after the socket could not be opened.
+	socketRetryDelay = time.Second
 )
 
 // Handover joins this process with its predecessor and its successors.
@@ -41,6 +44,8 @@
 	listener            net.Listener        // at the clients' address: the predecessor's, after Attach this process's
 	processCountChanged func(processes int) // called with the number of processes, this one included
 
+	socketError string // why the socket could not be opened last; Run owns it
+
 	retired atomic.Bool // this process ends: the socket is for others now; set under mu
 
 	mu          sync.Mutex // guards the fields below
@@ -88,14 +93,23 @@
 	defer stopWatching()
 	for ctx.Err() == nil && !h.retired.Load() {
 		listener, err := h.openSocket()
-		if err != nil {
-			h.log.Info("no upgrade can take over from this process", "error", err)
-			return
+		if err != nil { // it may pass: the next upgrade can be days away
+			h.logSocketError(err)
+			timing.Sleep(ctx, socketRetryDelay)
+			continue
 		}
 		h.acceptSuccessors(ctx, listener, exportState, &tasks)
 	}
 }
 
+// logSocketError logs why the socket could not be opened, once for each reason. Only Run calls it.
+func (h *Handover) logSocketError(err error) {
+	if text := err.Error(); text != h.socketError {
+		h.socketError = text
+		h.log.Info("no upgrade can take over from this process", "error", err)
+	}
+}
+
 // waitClosed returns when the other side of a connection has closed it or has ended.
 func waitClosed(conn net.Conn) {
 	var ignored [1]byte
--- a/internal/upgrade/handover_test.go
+++ b/internal/upgrade/handover_test.go
@@ -50,6 +50,28 @@
 	sidecartest.Next(t, done)
 }
 
+// TestSocketIsOpenedWhenItCanBe checks that a successor can take over although the socket could not be opened at first.
+func TestSocketIsOpenedWhenItCanBe(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "missing")
+	cfg := &config.Config{Listen: "127.0.0.1:1", AdminListen: "x", ScratchDir: dir}
+	handover := NewHandover(cfg, slog.New(slog.DiscardHandler))
+	done := make(chan bool)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(done)
+		handover.Run(ctx, func() (*State, error) { return &State{Version: StateVersion, Listen: cfg.Listen}, nil })
+	}()
+	time.Sleep(50 * time.Millisecond) // the first try fails
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	successor := NewHandover(cfg, slog.New(slog.DiscardHandler))
+	sidecartest.WaitFor(t, "the socket is there", func() bool { _, err := successor.RequestState(); return err == nil })
+	successor.predecessor.Close()
+	cancel()
+	sidecartest.Next(t, done)
+}
+
 // TestSuccessorAcceptsFromSharedQueue checks that both processes accept from one queue: the successor accepts the
 // connections that wait in it when the predecessor stops.
 func TestSuccessorAcceptsFromSharedQueue(t *testing.T) {
