Log the first read error of a connection, and the time left of an upload as it is

The time left of a request whose body was still coming was counted from a deadline that it did not have.

--- a/internal/downstream/record.go
+++ b/internal/downstream/record.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"cmp"
 	"log/slog"
 	"sync"
 	"time"
@@ -40,8 +41,8 @@
 	since    time.Time   // when the current request reached the handler
 	reason   closeReason // empty: net/http or the client closes
 	cause    error       // of reason; may be nil
-	readErr  error       // the last failed read
-	writeErr error       // the last failed write
+	readErr  error       // the first failed read since the current request began; later ones follow from the end
+	writeErr error       // the first failed write since then
 }
 
 // begin records that a request reached the handler.
@@ -51,6 +52,7 @@
 	r.phase = phaseValidating
 	r.traceID = traceID
 	r.since = time.Now()
+	r.readErr, r.writeErr = nil, nil
 }
 
 // enter records that the current request entered a phase.
@@ -73,14 +75,14 @@
 func (r *connRecord) readFailed(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readErr = err
+	r.readErr = cmp.Or(r.readErr, err)
 }
 
 // writeFailed records a failed write.
 func (r *connRecord) writeFailed(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.writeErr = err
+	r.writeErr = cmp.Or(r.writeErr, err)
 }
 
 // responseIncomplete reports whether the current request has no complete response. The caller holds mu.
--- a/internal/eventloop/log.go
+++ b/internal/eventloop/log.go
@@ -22,6 +22,10 @@
 	if req == nil || req.done {
 		return
 	}
+	left := req.exchange.Request.Remaining // while its long body comes, its time has not begun
+	if !req.uploading {
+		left = req.deadline - l.clock.now
+	}
 	l.log.Info(event, "request", req.exchange.TraceID, "attempts", len(req.attempts), "in_flight", req.inFlight,
-		"left_ms", req.deadline-l.clock.now)
+		"uploading", req.uploading, "left_ms", left)
 }
