--- a/internal/downstream/record.go
+++ b/internal/downstream/record.go
@@ -28,6 +28,7 @@
 	reasonNotAdmitted   closeReason = "no room for a new connection"
 	reasonShutdownIdle  closeReason = "idle during the shutdown"
 	reasonShutdownLimit closeReason = "end of the shutdown"
+	reasonClientGone    closeReason = "the client had gone when the request was to be sent"
 	reasonContextDone   closeReason = "the request's context ended"
 	reasonProcessEnds   closeReason = "the process ends"
 	reasonStreamBroken  closeReason = "the streamed response broke off"
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -149,6 +149,10 @@
 	s.Handler.RequestArrived(request)
 	select {
 	case response := <-request.Responses:
+		if response.Abort {
+			conn.record.explain(reasonClientGone, nil)
+			panic(http.ErrAbortHandler)
+		}
 		conn.record.enter(phaseResponding)
 		s.respond(w, r, conn, request.Message.Upload, response)
 	case <-r.Context().Done():
--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -88,8 +88,8 @@
 	if result.Outcome == balance.OK {
 		l.finish(req, result.Response)
 	}
-	if result.ClientGone { // the client side reports it too, later
-		l.finish(req, nil)
+	if result.ClientGone {
+		l.finish(req, &exchange.Response{Abort: true})
 	}
 	if result.UploadError != nil { // the client never completed the request
 		var fault *exchange.RequestError
--- a/internal/eventloop/cancel_test.go
+++ b/internal/eventloop/cancel_test.go
@@ -8,6 +8,7 @@
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/upstream"
 )
 
 // TestCancelledAttemptCannotAnswer checks that the beginning of a response which comes after its attempt was cancelled
@@ -60,3 +61,22 @@
 		t.Errorf("status %d, want 200", response.Status)
 	}
 }
+
+// TestDepartedClientEndsItsRequest checks that a request whose client had gone when it was to be sent is ended on the client side
+// too, which may not have noticed.
+func TestDepartedClientEndsItsRequest(t *testing.T) {
+	l := newTestLoop(t)
+	l.clock.update()
+	req := newRequest(l.requests.nextID(), newTestExchange(l, time.Now()))
+	l.requests.add(req)
+	responses := req.exchange.Responses
+	l.finishWithResult(req, &upstream.Result{Outcome: balance.NotAttempted, ClientGone: true})
+	select {
+	case response := <-responses:
+		if !response.Abort {
+			t.Errorf("response %+v, want one that aborts", response)
+		}
+	default:
+		t.Error("the client side waits for ever")
+	}
+}
--- a/internal/eventloop/requests.go
+++ b/internal/eventloop/requests.go
@@ -51,7 +51,7 @@
 	l.timers.schedule(timer{dueAt: req.deadline + deadlineSlack, request: req})
 }
 
-// finish gives a request its final response, or none (nil) if its client has gone. Only the first call for a request has an
+// finish gives a request its final response, or none (nil) if the client side has ended it. Only the first call for a request has an
 // effect, and a nil request is ignored. This is the only place that sends a response to a client.
 func (l *Loop) finish(req *request, response *exchange.Response) {
 	if req == nil || req.done {
@@ -67,7 +67,7 @@
 		attempt.Answered.Store(true)
 	}
 	if response != nil {
-		if !req.streaming {
+		if !req.streaming && !response.Abort {
 			req.counters.CountStatus(response.Status)
 		}
 		req.exchange.Responses <- response
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,4 +25,7 @@
 	Body      []byte    // empty if there is a Download
 	CloseConn bool      // the client's connection is closed after it
 	Download  *Download // the body of a long response; nil: Body is complete
+	// Abort closes the connection without a response: its client has gone, which the client side may never notice, as
+	// net/http stops watching a connection when a byte follows the request.
+	Abort bool
 }
