Add upgrades and long request bodies to the soak, and judge overlaps by their length

Change: a plan can have a new process take over from a sidecar's, which ends by SIGTERM once the new one is ready, and clients send bodies over 64 KiB.

--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -9,6 +9,9 @@
 	"cindersaddle/internal/standin"
 )
 
+// upgradeGrace is when the news of discovery count as told to a new process after it is ready.
+const upgradeGrace = 2 * time.Second
+
 // slowDelay is by how much a slow server's bytes come late.
 const slowDelay = 80 * time.Millisecond
 
@@ -20,6 +23,8 @@
 		r.terminate(r.sidecars[event.Target])
 	case EventKill:
 		r.kill(r.sidecars[event.Target])
+	case EventUpgrade:
+		r.upgrade(r.sidecars[event.Target])
 	case EventReload:
 		r.reload(r.sidecars[event.Target])
 	case EventHoldUp:
@@ -148,10 +153,16 @@
 	if process == nil {
 		return
 	}
+	r.endByTerm(process, s.life)
+	r.startAgain(s)
+}
+
+// endByTerm sends SIGTERM to the process of a life, and SIGKILL at the earliest moment that is allowed if it still runs then.
+func (r *run) endByTerm(process Sidecar, life int) {
 	process.Signal(syscall.SIGTERM)
 	patience := min(r.plan.longestDeadline(), maxKillDeadline) + killMargin
 	ended, exit := process.Wait(patience)
-	r.endLife(s, func(life *Life) {
+	r.endLife(life, func(life *Life) {
 		if !ended {
 			life.KilledAt = time.Now()
 		} else if exit != nil {
@@ -159,7 +170,35 @@
 		}
 	})
 	process.Kill()
-	r.startAgain(s)
+}
+
+// upgrade starts a process beside that of a sidecar, and ends the former one when the new one is ready.
+func (r *run) upgrade(s *sidecar) {
+	former := r.beginEnd(s, func(*Life) {})
+	if former == nil {
+		return
+	}
+	started := time.Now()
+	next, err := r.launchProcess(s)
+	r.mu.Lock()
+	if err != nil {
+		r.records.StartErrs = append(r.records.StartErrs, err)
+		s.ending = false
+		r.mu.Unlock()
+		return
+	}
+	formerLife := s.life
+	r.records.Lives[formerLife].TermAt = time.Now()
+	r.records.Lives = append(r.records.Lives, Life{
+		Sidecar: s.config.Name, StartedAt: started, NewsFrom: time.Now().Add(upgradeGrace),
+	})
+	s.life = len(r.records.Lives) - 1
+	s.process = next
+	r.mu.Unlock()
+	r.endByTerm(former, formerLife)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.ending = false
 }
 
 // kill ends the process of a sidecar outright and starts another one.
@@ -169,15 +208,15 @@
 		return
 	}
 	process.Kill()
-	r.endLife(s, func(*Life) {})
+	r.endLife(s.life, func(*Life) {})
 	r.startAgain(s)
 }
 
-// endLife records the end of the present process of a sidecar.
-func (r *run) endLife(s *sidecar, mark func(*Life)) {
+// endLife records the end of a process.
+func (r *run) endLife(index int, mark func(*Life)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	life := &r.records.Lives[s.life]
+	life := &r.records.Lives[index]
 	mark(life)
 	life.EndedAt = time.Now()
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,11 +27,12 @@
 	EventSlow                           // what a server sends comes late, by 80 ms, for Length
 	EventDiscoveryDown                  // the agents are silent for Length
 	EventClockStep                      // the wall clock of all machines is stepped by Length
+	EventUpgrade                        // a new process takes over from a sidecar's, which gets SIGTERM once the new one is ready
 )
 
 var eventNames = [...]string{
 	"SIGTERM, later SIGKILL", "SIGKILL", "new configuration", "held up", "drain", "restart", "hang", "cut", "reset", "slow",
-	"discovery down", "clock step",
+	"discovery down", "clock step", "upgrade",
 }
 
 // Event is one event of a plan.
@@ -154,7 +155,7 @@
 		add(serverEvents[random.IntN(len(serverEvents))], server, between(500*time.Millisecond, 2*time.Second))
 		server++
 	}
-	sidecarEvents := []EventKind{EventTerm, EventTerm, EventKill, EventReload}
+	sidecarEvents := []EventKind{EventTerm, EventTerm, EventKill, EventReload, EventUpgrade}
 	for sidecar := range p.Sidecars {
 		if random.IntN(3) > 0 {
 			add(sidecarEvents[random.IntN(len(sidecarEvents))], sidecar, 0)
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -190,8 +190,7 @@
 	if j.killedBetween(e.Sidecar, earlier.FirstByteAt, attempt.FirstByteAt) {
 		return // the client has sent the request again, to the next process
 	}
-	open := earlier.EndedAt.IsZero() || earlier.EndedAt.After(attempt.FirstByteAt.Add(recordSlack))
-	if open && !j.disturbed(earlier) {
+	if overlap(earlier, attempt) > recordSlack && !j.disturbed(earlier) {
 		j.report(RuleDuplicate, e.TraceID, "server %s got it while server %s had it", attempt.Server, earlier.Server)
 	}
 	if earlier.End == standin.EndNeverRan {
@@ -211,6 +210,21 @@
 	}
 }
 
+// overlap returns how long two attempts were open at the same time, as far as their servers saw.
+func overlap(a, b *standin.Attempt) time.Duration {
+	began, ended := a.FirstByteAt, a.EndedAt
+	if b.FirstByteAt.After(began) {
+		began = b.FirstByteAt
+	}
+	if ended.IsZero() || !b.EndedAt.IsZero() && b.EndedAt.Before(ended) {
+		ended = b.EndedAt
+	}
+	if ended.IsZero() { // both are open at the end of the run
+		return math.MaxInt64
+	}
+	return ended.Sub(began)
+}
+
 // judgeDrains checks that servers get nothing new once their sidecars know that they drain or are gone.
 func (j *judge) judgeDrains() {
 	slices.SortStableFunc(j.Told, func(a, b Told) int { return a.At.Compare(b.At) }) // of one moment, the later one counts
@@ -234,8 +248,13 @@
 	since := told.At
 	for _, life := range j.Lives {
 		ended := !life.EndedAt.IsZero() && life.EndedAt.Before(told.At)
-		if life.Sidecar == told.Sidecar && !ended && life.StartedAt.After(since) {
-			since = life.StartedAt
+		if life.Sidecar != told.Sidecar || ended {
+			continue
+		}
+		for _, from := range []time.Time{life.StartedAt, life.NewsFrom} {
+			if from.After(since) {
+				since = from
+			}
 		}
 	}
 	return since
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -56,6 +56,7 @@
 	TermAt    time.Time // zero: no SIGTERM
 	KilledAt  time.Time // zero: no SIGKILL
 	EndedAt   time.Time // zero: it runs
+	NewsFrom  time.Time // from when news of discovery count as told to it; zero: from its start
 	Crash     error     // why it ended by itself without a signal
 }
 
@@ -242,20 +243,11 @@
 
 // startProcess starts the next process of a sidecar.
 func (r *run) startProcess(s *sidecar) error {
-	s.config.Known = s.discovery.List()
 	r.mu.Lock()
 	r.records.Lives = append(r.records.Lives, Life{Sidecar: s.config.Name, StartedAt: time.Now()})
 	s.life = len(r.records.Lives) - 1
 	r.mu.Unlock()
-	var environment []string
-	if r.plan.Faults != "" {
-		environment = []string{envFaults + "=" + r.plan.Faults, envClockStep + "=" + r.clockStepPath()}
-	}
-	dir := filepath.Join(r.dir, s.config.Name)
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return err
-	}
-	process, err := r.launch(s.config, dir, environment...)
+	process, err := r.launchProcess(s)
 	if err != nil {
 		return err
 	}
@@ -266,6 +258,28 @@
 	return nil
 }
 
+// launchProcess starts a process of a sidecar with an admin address of its own.
+func (r *run) launchProcess(s *sidecar) (Sidecar, error) {
+	admin, err := standin.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	s.config.Admin = admin
+	s.config.Known = s.discovery.List()
+	config := s.config
+	r.mu.Unlock()
+	var environment []string
+	if r.plan.Faults != "" {
+		environment = []string{envFaults + "=" + r.plan.Faults, envClockStep + "=" + r.clockStepPath()}
+	}
+	dir := filepath.Join(r.dir, config.Name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	return r.launch(config, dir, environment...)
+}
+
 // work sends the requests of one worker until the end of the traffic.
 func (r *run) work(s *sidecar, worker int, end time.Time) {
 	for number := 0; time.Now().Before(end); number++ {
@@ -300,6 +314,9 @@
 	if r.random.Float64() < r.plan.Leaving {
 		request.LeaveAfter = time.Duration(1 + r.random.ExpFloat64()*float64(30*time.Millisecond))
 	}
+	if r.random.IntN(50) == 0 {
+		request.Body = 70_000 + r.random.IntN(200_000) // over what is buffered
+	}
 	if r.random.IntN(30) == 0 {
 		request.Pieces, request.Pause = 2+r.random.IntN(3), time.Duration(r.random.IntN(100))*time.Millisecond
 	}
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -143,14 +143,19 @@
 	return fmt.Errorf("%s is not ready within %v", p.Config.Name, readyTimeout)
 }
 
+// ready asks at the admin address if there is one: at the clients' another process may respond.
 func (p *Process) ready() bool {
-	conn, err := net.DialTimeout("tcp", p.Config.Listen, time.Second)
+	address, path := p.Config.Listen, "/up"
+	if p.Config.Admin != "" {
+		address, path = p.Config.Admin, "/api/ready"
+	}
+	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(time.Second))
-	fmt.Fprintf(conn, "GET /up HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
+	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n", path)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	return err == nil && response.StatusCode == http.StatusOK
 }
