--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -260,10 +260,11 @@
 	return since
 }
 
-// readyAgain reports whether a later change, after the one at an index, made a server ready before a moment.
+// readyAgain reports whether a later change, after the one at an index, made a server ready before a moment. A sidecar may know
+// that sooner than it has to.
 func (j *judge) readyAgain(told Told, index int, before time.Time) bool {
 	return slices.ContainsFunc(j.Told[index+1:], func(later Told) bool {
-		return later.Sidecar == told.Sidecar && later.Server == told.Server && later.Phase == "ready" && later.At.Before(before)
+		return later.Sidecar == told.Sidecar && later.Server == told.Server && later.Phase == "ready" && later.HadAt.Before(before)
 	})
 }
 
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -20,9 +20,9 @@
 	} {
 		records := &Records{Plan: &Plan{Settings: defaultSettings(), Length: time.Second, Servers: 1}, BeganAt: began}
 		for i := range 40 { // so many, and in no order, that an unstable sort mixes them
-			records.Told = append(records.Told, Told{Sidecar: "n1", Server: "s-0", Phase: "ready", At: at.Add(time.Duration(i*7919%41-20) * time.Millisecond)})
+			records.Told = append(records.Told, Told{Sidecar: "n1", Server: "s-0", Phase: "ready", HadAt: at, At: at.Add(time.Duration(i*7919%41-20) * time.Millisecond)})
 			for _, phase := range test.phases {
-				records.Told = append(records.Told, Told{Sidecar: "n0", Server: "s-0", Phase: phase, At: at})
+				records.Told = append(records.Told, Told{Sidecar: "n0", Server: "s-0", Phase: phase, HadAt: at, At: at})
 			}
 		}
 		sent := at.Add(time.Second)
@@ -58,3 +58,28 @@
 		}
 	}
 }
+
+// TestServerIsReadyOnceThatCanBeKnown checks that a server may be used from the moment at which a new discovery has it as ready,
+// although that counts as known only later.
+func TestServerIsReadyOnceThatCanBeKnown(t *testing.T) {
+	began := time.Now()
+	at := func(after time.Duration) time.Time { return began.Add(after) }
+	for _, test := range []struct {
+		sent   time.Time
+		broken bool
+	}{
+		{at(2 * time.Second), true}, {at(4 * time.Second), false},
+	} {
+		records := &Records{Plan: &Plan{Settings: defaultSettings(), Length: time.Second, Servers: 1}, BeganAt: began}
+		records.Told = []Told{
+			{Sidecar: "n0", Server: "s-0", Phase: "gone", HadAt: at(time.Second), At: at(time.Second)},
+			{Sidecar: "n0", Server: "s-0", Phase: "ready", HadAt: at(3 * time.Second), At: at(7 * time.Second)},
+		}
+		request := standin.Request{TraceID: "n0.1.x", Deadline: time.Second}
+		records.Exchanges = []standin.Exchange{{Request: request, Sidecar: "n0", BeganAt: test.sent, SentAt: test.sent, EndedAt: test.sent, Status: 200}}
+		records.Attempts = []standin.Attempt{{Server: "s-0", TraceID: request.TraceID, FirstByteAt: test.sent, LastByteAt: test.sent, EndedAt: test.sent, End: standin.EndServed}}
+		if broken := len(Judge(records)) > 0; broken != test.broken {
+			t.Errorf("sent %v after the beginning: broken %v, want %v", test.sent.Sub(began), broken, test.broken)
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -63,7 +63,8 @@
 // Told is a change of a server that counts as known to a sidecar.
 type Told struct {
 	Sidecar, Server, Phase string
-	At                     time.Time
+	HadAt                  time.Time // when the sidecar could have read it
+	At                     time.Time // when it counts as known
 }
 
 // BadConn is a connection of a client that completes no request.
@@ -377,7 +378,7 @@
 // addTold adds what the present discovery of a sidecar has told.
 func addTold(records *Records, s *sidecar) {
 	for _, notice := range s.discovery.Notices() {
-		told := Told{Sidecar: s.config.Name, Server: notice.Server, Phase: notice.Phase, At: notice.At}
+		told := Told{Sidecar: s.config.Name, Server: notice.Server, Phase: notice.Phase, HadAt: notice.HadAt, At: notice.At}
 		records.Told = append(records.Told, told)
 	}
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -32,7 +32,8 @@
 type Notice struct {
 	Server string
 	Phase  string
-	At     time.Time
+	HadAt  time.Time // when it could be read for the first time
+	At     time.Time // when it counts as told, which can be later
 }
 
 // NewDiscovery starts an agent with an empty list.
@@ -62,7 +63,8 @@
 	defer d.mu.Unlock()
 	d.revision++
 	d.members[member.ID] = member
-	notice := Notice{Server: member.ID, Phase: member.Phase, At: time.Now()}
+	now := time.Now()
+	notice := Notice{Server: member.ID, Phase: member.Phase, HadAt: now, At: now}
 	if d.silent {
 		d.untold = append(d.untold, notice)
 	} else {
@@ -78,7 +80,8 @@
 	d.silent = silent
 	if !silent {
 		for _, notice := range d.untold {
-			notice.At = time.Now()
+			notice.HadAt = time.Now()
+			notice.At = notice.HadAt
 			d.told = append(d.told, notice)
 		}
 		d.untold = nil
