Count the time of a long body from its last byte in retries too

Cause: Loop.newAttempt gave an attempt of an upload the whole time of the request, and finishUpload began it anew, although the client had written its last byte before the first attempt failed.

Change: the upload keeps when its last byte was read; an attempt that begins later gets what is left, and ends with it.

--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -35,7 +35,7 @@
 
 // newAttempt returns the next attempt of a request. Its endpoint is nil if that has been removed.
 func (l *Loop) newAttempt(req *request, action *balance.Action) *upstream.Attempt {
-	timeAfterUpload := req.exchange.Request.Remaining
+	timeAfterUpload := req.timeFromLastByte()
 	if !req.uploading {
 		timeAfterUpload = max(0, req.deadline-l.clock.now)
 	}
@@ -59,6 +59,9 @@
 	deadline := req.deadline
 	if req.uploading {
 		deadline = l.clock.now + maxUploadTime
+		if upload := req.exchange.Message.Upload; upload != nil && upload.Complete.Load() {
+			deadline = l.clock.now + req.timeFromLastByte()
+		}
 	}
 	if action.Deadline > 0 {
 		deadline = min(deadline, action.Deadline)
--- a/internal/eventloop/streams.go
+++ b/internal/eventloop/streams.go
@@ -19,6 +19,7 @@
 		return
 	}
 	req.uploading = false
+	req.exchange.Request.Remaining = req.timeFromLastByte()
 	l.limitLateRequest(req, l.clock.wallTime(l.clock.now))
 	l.startDeadline(req)
 	l.notifyBalancer(balance.UploadComplete{
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -68,6 +68,7 @@
 	Budget         *BufferBudget       // what Buffered counts against
 	Discarded      atomic.Bool         // Buffered does not have all bytes that were read
 	Complete       atomic.Bool         // the last byte was read
+	completedAt    atomic.Pointer[time.Time]
 
 	mu        sync.Mutex // guards the fields below while attempts run
 	Buffered  []byte     // the bytes that were read, unless Discarded
@@ -88,6 +89,20 @@
 	u.discard()
 }
 
+// MarkComplete records that the last byte was read, at a moment.
+func (u *Upload) MarkComplete(at time.Time) {
+	u.completedAt.Store(&at)
+	u.Complete.Store(true)
+}
+
+// SinceComplete returns how long ago the last byte was read; 0: it has not been.
+func (u *Upload) SinceComplete() time.Duration {
+	if at := u.completedAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 0
+}
+
 // discard frees the buffer. The caller must have locked mu.
 func (u *Upload) discard() {
 	u.Discarded.Store(true)
@@ -105,7 +120,9 @@
 	n, err := u.Source.Read(p)
 	u.BytesRead += int64(n)
 	u.buffer(p[:n])
-	u.Complete.Store(err == io.EOF)
+	if err == io.EOF {
+		u.MarkComplete(time.Now())
+	}
 	if err != nil && err != io.EOF {
 		err = ClientError{err}
 	}
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -12,6 +13,9 @@
 // upgradeGrace is when the news of discovery count as told to a new process after it is ready.
 const upgradeGrace = 2 * time.Second
 
+// reloadInterval is the time between the new configurations of a series.
+const reloadInterval = 350 * time.Millisecond
+
 // slowDelay is by how much a slow server's bytes come late.
 const slowDelay = 80 * time.Millisecond
 
@@ -26,7 +30,7 @@
 	case EventUpgrade:
 		r.upgrade(r.sidecars[event.Target])
 	case EventReload:
-		r.reload(r.sidecars[event.Target])
+		r.reloadInSeries(r.sidecars[event.Target], event.Length)
 	case EventHoldUp:
 		r.holdUp(r.sidecars[event.Target], event.Length)
 	case EventDiscoveryDown:
@@ -229,6 +233,16 @@
 	}
 }
 
+// reloadInSeries reloads once, and again at intervals until a length of time is over.
+func (r *run) reloadInSeries(s *sidecar, length time.Duration) {
+	var reloads sync.WaitGroup
+	for after := time.Duration(0); after <= length; after += reloadInterval {
+		reloads.Go(func() { r.reload(s) })
+		time.Sleep(reloadInterval)
+	}
+	reloads.Wait()
+}
+
 // reload gives a sidecar a new configuration with another discovery, and ends the former one.
 func (r *run) reload(s *sidecar) {
 	next, err := standin.NewDiscovery()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -17,7 +17,7 @@
 const (
 	EventTerm          EventKind = iota // SIGTERM to a sidecar, SIGKILL at the earliest moment allowed, and a new process
 	EventKill                           // SIGKILL to a sidecar, and a new process
-	EventReload                         // a new configuration with another address of discovery, and SIGHUP
+	EventReload                         // new configurations with other addresses of discovery, and SIGHUP, for Length
 	EventHoldUp                         // a sidecar gets no processor time for Length
 	EventDrain                          // a server drains, and is gone after Length
 	EventRestart                        // a server dies and comes back warming up after Length
@@ -158,7 +158,7 @@
 	sidecarEvents := []EventKind{EventTerm, EventTerm, EventKill, EventReload, EventUpgrade}
 	for sidecar := range p.Sidecars {
 		if random.IntN(3) > 0 {
-			add(sidecarEvents[random.IntN(len(sidecarEvents))], sidecar, 0)
+			add(sidecarEvents[random.IntN(len(sidecarEvents))], sidecar, time.Duration(random.IntN(3))*reloadInterval)
 		}
 		for range random.IntN(4) {
 			add(EventHoldUp, sidecar, between(20*time.Millisecond, 150*time.Millisecond))
