--- a/internal/eventloop/upload_test.go
+++ b/internal/eventloop/upload_test.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +46,30 @@
 		}
 	}
 }
+
+// TestUploadPausedBetweenAttemptsHasTheTimeLeft checks that an attempt which begins some time after a failed one tells its server no
+// more than the client can have left. Nobody reads the body between two attempts: its last byte may have come at any moment since.
+func TestUploadPausedBetweenAttemptsHasTheTimeLeft(t *testing.T) {
+	const waits, pause, slack = 1000.0, 300 * time.Millisecond, 150.0
+	l := newTestLoop(t)
+	l.clock.update()
+	incoming := newTestExchange(l, time.Now())
+	incoming.Request.Uploading, incoming.Request.Remaining = true, waits
+	upload := &exchange.Upload{
+		Length: 20, Source: strings.NewReader("a body, all of it"), Budget: &exchange.BufferBudget{}, SetReadTimeout: func(time.Duration) {},
+	}
+	incoming.Message.Upload = upload
+	req := newRequest(l.requests.nextID(), incoming)
+	l.requests.add(req)
+	if _, err := exchange.NewUploadReader(upload).Read(make([]byte, 5)); err != nil { // the first attempt, which fails then
+		t.Fatal(err)
+	}
+	time.Sleep(pause)
+	l.clock.update()
+	endpoint := l.endpoints.add("s-1")
+	attempt := l.newAttempt(req, &balance.Action{Kind: balance.SendAttempt, Request: req.id, Endpoint: endpoint.ID})
+	want := waits - float64(pause.Milliseconds()) + slack
+	if told := float64(attempt.TimeAfterUpload) / float64(time.Millisecond); told > want {
+		t.Errorf("the server is told %v ms, want at most %v", told, want)
+	}
+}
