End connections with their first response where the signal came during the start

Cause: the accepting goroutine may serve a request before serveClients marks the shutdown, although the signal was there first.

Change: the shutdown is marked before the first accept if the signal has come. The test is as it was.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -210,6 +210,9 @@
 func (s *service) serveClients(ctx context.Context) error {
 	server := s.clients.HTTPServer(s.log)
 	listener := downstream.NewListener(s.env.clients, s.conns, s.pool)
+	if ctx.Err() != nil { // the signal came during the start: the first responses end their connections already
+		s.state.ShuttingDown.Store(true)
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }() // ends when shutDown closes the listener
 	select {
