--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -47,7 +47,7 @@
 	number := conn.requests
 	controller.EnableFullDuplex() // the response may precede the end of the body
 	conn.uploading.Store(true)
-	return &exchange.Upload{
+	upload := &exchange.Upload{
 		Length:        r.ContentLength,
 		Source:        source,
 		Budget:        &s.replayBudget,
@@ -58,6 +58,8 @@
 			controller.SetReadDeadline(time.Now().Add(timeout))
 		},
 	}
+	upload.Pause(time.Now())
+	return upload
 }
 
 // pacedReader extends the read deadline of a body as its bytes arrive.
--- a/internal/eventloop/requestindex.go
+++ b/internal/eventloop/requestindex.go
@@ -35,12 +35,12 @@
 	}
 }
 
-// timeFromLastByte returns how many milliseconds the client of a request with a long body waits from now on, if the last byte has
-// come, and otherwise from then on. An attempt that follows a failed one can begin long after the last byte.
+// timeFromLastByte returns how many milliseconds the client of a request with a long body waits at least, from now on if the last
+// byte has come, and otherwise from then on. An attempt that follows a failed one can begin long after the last byte.
 func (r *request) timeFromLastByte() float64 {
 	left := r.exchange.Request.Remaining
 	if upload := r.exchange.Message.Upload; upload != nil {
-		left -= float64(upload.SinceComplete()) / float64(time.Millisecond)
+		left -= float64(upload.SinceLastByte()) / float64(time.Millisecond)
 	}
 	return max(0, left)
 }
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -69,6 +69,8 @@
 	Discarded      atomic.Bool         // Buffered does not have all bytes that were read
 	Complete       atomic.Bool         // the last byte was read
 	completedAt    atomic.Pointer[time.Time]
+	pausedAt       atomic.Pointer[time.Time] // since when nobody reads; nil: somebody does
+	paused         atomic.Int64              // how long nobody has read, in nanoseconds
 
 	mu        sync.Mutex // guards the fields below while attempts run
 	Buffered  []byte     // the bytes that were read, unless Discarded
@@ -95,12 +97,28 @@
 	u.Complete.Store(true)
 }
 
-// SinceComplete returns how long ago the last byte was read; 0: it has not been.
-func (u *Upload) SinceComplete() time.Duration {
+// Pause records that nobody reads from a moment on.
+func (u *Upload) Pause(from time.Time) { u.pausedAt.Store(&from) }
+
+// CountPause adds the time since which nobody reads to what SinceLastByte returns. It is called when reading is to go on.
+func (u *Upload) CountPause() {
+	from := u.pausedAt.Load()
+	if from == nil || u.Complete.Load() {
+		return
+	}
+	now := time.Now()
+	u.paused.Add(int64(now.Sub(*from)))
+	u.Pause(now)
+}
+
+// SinceLastByte returns how long ago the last byte can have come. While it has not been read, that is the time in which nobody
+// read, as it may have come then.
+func (u *Upload) SinceLastByte() time.Duration {
+	since := time.Duration(u.paused.Load())
 	if at := u.completedAt.Load(); at != nil {
-		return time.Since(*at)
+		since += time.Since(*at)
 	}
-	return 0
+	return since
 }
 
 // discard frees the buffer. The caller must have locked mu.
@@ -117,7 +135,9 @@
 		return 0, u.err
 	}
 	u.SetReadTimeout(StallTimeout)
+	u.pausedAt.Store(nil)
 	n, err := u.Source.Read(p)
+	u.Pause(time.Now())
 	u.BytesRead += int64(n)
 	u.buffer(p[:n])
 	if err == io.EOF {
