Wait in the tests of upgrades for the handover to end before its directory is removed

Cause: the test ends while Handover.Run, which takes the socket back after a successor has gone, opens it again in the directory that is being removed. Three tests did not wait for Run.

Change: they do, by runUntilCleanup. Nothing that they check has changed.

--- a/internal/upgrade/handover_test.go
+++ b/internal/upgrade/handover_test.go
@@ -79,7 +79,7 @@
 	cfg := &config.Config{Listen: listener.Addr().String(), AdminListen: "x", ScratchDir: t.TempDir()}
 	handover := NewHandover(cfg, slog.New(slog.DiscardHandler))
 	handover.listener = listener
-	go handover.Run(t.Context(), func() (*State, error) { return &State{Version: StateVersion, Listen: cfg.Listen}, nil })
+	runUntilCleanup(t, handover, func() (*State, error) { return &State{Version: StateVersion, Listen: cfg.Listen}, nil })
 	successor := NewHandover(cfg, handover.log)
 	sidecartest.WaitFor(t, "the socket is there", func() bool { _, err := successor.RequestState(); return err == nil })
 	if successor.listener == nil {
@@ -133,7 +133,7 @@
 	handover := NewHandover(cfg, slog.New(slog.DiscardHandler))
 	processes := make(chan int, 10)
 	handover.processCountChanged = func(n int) { processes <- n }
-	go handover.Run(t.Context(), func() (*State, error) { return &State{Version: StateVersion, Listen: cfg.Listen}, nil })
+	runUntilCleanup(t, handover, func() (*State, error) { return &State{Version: StateVersion, Listen: cfg.Listen}, nil })
 	successors := make([]*Handover, 2)
 	for i := range successors {
 		successors[i] = NewHandover(cfg, handover.log)
@@ -187,7 +187,7 @@
 func retireDuringHandover(t *testing.T, handover, successor *Handover, retireFirst bool) (succeeded bool, err error) {
 	t.Helper()
 	exporting, release := make(chan bool), make(chan bool)
-	go handover.Run(t.Context(), func() (*State, error) {
+	runUntilCleanup(t, handover, func() (*State, error) {
 		exporting <- true
 		<-release
 		return &State{Version: StateVersion, Listen: handover.listen}, nil
@@ -246,3 +246,19 @@
 		sidecartest.Next(t, done)
 	}
 }
+
+// runUntilCleanup runs a handover until the end of the test, and waits for its end before the directory of the socket is removed:
+// it may be opening the socket again.
+func runUntilCleanup(t *testing.T, handover *Handover, exportState func() (*State, error)) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		handover.Run(ctx, exportState)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
