--- a/internal/downstream/conn_read.go
+++ b/internal/downstream/conn_read.go
@@ -18,8 +18,6 @@
 	maxSurplus = http1.MaxBufferedBody
 	// surplusBufferSize is the number of bytes that are discarded in one read.
 	surplusBufferSize = 512
-	// transientReadPause is the time between two tries of a read that failed for want of memory.
-	transientReadPause = time.Millisecond
 )
 
 var errTooMuchSurplus = fmt.Errorf("more than %d bytes after a request that awaits its response", maxSurplus)
@@ -35,7 +33,7 @@
 		if n > 0 || !socket.Transient(err) {
 			break
 		}
-		time.Sleep(transientReadPause)
+		time.Sleep(socket.RetryPause)
 	}
 	if n > 0 && c.tracker.AfterRead != nil {
 		c.tracker.AfterRead()
--- a/internal/eventloop/requests.go
+++ b/internal/eventloop/requests.go
@@ -97,7 +97,7 @@
 	if req.done {
 		return
 	}
-	l.logUnserved(req, "request not finished by the balancer")
+	l.log.Error("request not finished by the balancer", "request", req.exchange.TraceID)
 	l.abandonRequest(req, textResponse(http.StatusGatewayTimeout, "out of time"))
 }
 
--- a/internal/socket/errors.go
+++ b/internal/socket/errors.go
@@ -35,8 +35,8 @@
 	syscall.ENOTSOCK,
 }
 
-// retryPause is the time between two tries of a call that failed with a transient error.
-const retryPause = time.Millisecond
+// RetryPause is the time between two tries of a call that failed with a transient error.
+const RetryPause = time.Millisecond
 
 // Exhausted reports whether err means that the machine or the process has no resources for another socket.
 func Exhausted(err error) bool { return isAny(err, exhaustionErrors) }
