--- a/review/_standins/cutanswer.go
+++ b/review/_standins/cutanswer.go
@@ -1,17 +1,21 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
 	"strings"
 	"time"
 )
 
 const (
-	cutAnswerLength = 32 << 20                // bytes of the long answer
-	cutPieceLength  = 64 << 10                // bytes that the slow client reads at a time
-	cutPieceCount   = 6                       // how many pieces it reads slowly
-	cutPause        = 1500 * time.Millisecond // pause after each of them
+	cutAnswerLength = 32 << 20    // bytes of the long answer
+	cutPieceLength  = 64 << 10    // bytes that the slow client reads at a time
+	cutPieceCount   = 9           // how many pieces it reads slowly
+	cutPause        = time.Second // pause after each of them
 )
 
 // playCutAnswer has a client read a long answer in pieces for some seconds, and then at full speed.
@@ -57,7 +61,8 @@
 		for range cutPieceCount {
 			n, err := io.CopyN(io.Discard, response.Body, cutPieceLength)
 			total += n
-			record("client has read %d bytes, error: %v", total, err)
+			record("client has read %d bytes, error: %v; the sidecar's send buffer holds %d bytes for it",
+				total, err, sendQueue(s.address, c.LocalAddr().String()))
 			time.Sleep(cutPause)
 		}
 	}
@@ -67,3 +72,24 @@
 	record("sidecar still running: %v", s.running())
 	return err == nil && total == cutAnswerLength
 }
+
+// sendQueue returns how many bytes the kernel holds at local that have been written for remote but not acknowledged.
+func sendQueue(local, remote string) int64 {
+	text, _ := os.ReadFile("/proc/net/tcp")
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if len(fields) > 4 && fields[1] == procAddress(local) && fields[2] == procAddress(remote) {
+			sent, _, _ := strings.Cut(fields[4], ":")
+			count, _ := strconv.ParseInt(sent, 16, 64)
+			return count
+		}
+	}
+	return -1
+}
+
+// procAddress returns an IPv4 address and port in the form of /proc/net/tcp.
+func procAddress(address string) string {
+	parsed := netip.MustParseAddrPort(address)
+	ip := parsed.Addr().As4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], parsed.Port())
+}
