--- /dev/null
+++ b/review/_standins/sidecar.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// freePort returns a loopback address on which nothing listens, outside the kernel's range for outgoing connections.
+func freePort() string {
+	for port := 21000 + os.Getpid()%5000; port < 31000; port++ {
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if usedPorts[address] {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			usedPorts[address] = true
+			return address
+		}
+	}
+	fatal("no free port")
+	return ""
+}
+
+// usedPorts holds the addresses that freePort has returned.
+var usedPorts = map[string]bool{}
+
+// options are the settings in which a case differs from the example of WIRE-cindersaddle.md.
+type options struct {
+	orderWindowMS float64 // window_ms of port-order
+}
+
+// settingsOf returns the settings document: the example of WIRE-cindersaddle.md, with the changes of opts.
+func settingsOf(opts options) map[string]any {
+	return map[string]any{
+		"classes": []any{
+			map[string]any{"effect": "read_like", "group": "all", "hard_limit_ms": 2000.0, "late_worth": 0.0, "name": "lookup",
+				"on_time_ms": 500.0, "stream": false, "window_ms": 5000.0, "worth": 1.0},
+			map[string]any{"effect": "idempotency_key", "group": "zone", "hard_limit_ms": 1500.0, "late_worth": 0.0,
+				"name": "port-order", "on_time_ms": 800.0, "stream": false, "window_ms": opts.orderWindowMS, "worth": 5.0},
+		},
+		"clients": map[string]any{"marks_retry": true}, "discovery": "automatic",
+		"family_info": map[string]any{"warm_keys": true}, "kinds": []string{"std-2", "slow-2"},
+		"limits": map[string]any{"cancel": true, "conn_idle_ms": 10000.0, "connect_timeout_ms": 100.0, "cpu_us_per_request": 0.0,
+			"cpu_us_per_s": 106666, "max_attempts": 5, "max_retry_after_ms": 1000.0, "may_tell": false, "open_cap": 26666,
+			"parallel_tries": false, "probes": true, "retry_after": true, "streams_per_conn": 1},
+		"my_number": 0, "over_share_worth": 0.05, "peers_total": 1,
+		"penalties": map[string]any{"connection": 0.0, "cross_zone": 0.014, "discovery": 0.0, "handshake": 0.12,
+			"late_fail": 0.024, "moves": 0.0, "origin": 0.0, "peer": 0.0, "probe": 0.0023, "waste": 0.3},
+		"quantum_ms": 5.0, "report": map[string]any{"fields": []string{"rif", "busy", "rate", "q"}, "via": "pull"},
+		"result_mix": map[string]any{"whole": 0.3, "worst_class": 0.3, "worst_tenant": 0.1, "worst_window": 0.3},
+		"rules": map[string]any{"answer_slack_ms": 20.0, "ask_within_ms": 10000.0, "cold_from": 0.16, "cold_ms": 18000.0,
+			"drain_grace_ms": 250.0, "fall_ms": 1000.0, "fall_multiple": 4.0},
+		"service_type": "mesh",
+		"tenants": []any{
+			map[string]any{"allowance_per_s": 27.0, "name": "soar-mobile", "share": 0.5},
+			map[string]any{"allowance_per_s": 27.0, "name": "wreake-tel", "share": 0.5},
+		},
+		"tier": 0, "tiers": []string{"port-api"}, "value_by": "request", "weights": "rough", "zone": 0, "zones": zoneNames,
+	}
+}
+
+// zoneNames are the zones of the site.
+var zoneNames = []string{"derby-dc", "nottingham-dc", "leicester-dc"}
+
+// sidecar is a running sidecar process.
+type sidecar struct {
+	address string
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// startSidecar starts the program with the command of the deploy file, as an own process in a temporary folder, and waits
+// until GET /up at its client address responds with 200.
+func startSidecar(discovery string, opts options) *sidecar {
+	s := &sidecar{address: freePort(), exited: make(chan struct{})}
+	dir, err := os.MkdirTemp("", "review-sidecar-")
+	check(err)
+	atExit(func() { os.RemoveAll(dir) })
+	tmp := filepath.Join(dir, "tmp")
+	check(os.Mkdir(tmp, 0o700))
+	config := map[string]any{
+		"name": "n1", "listen": s.address, "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"revision": 0, "complete": false, "members": []any{}},
+		"settings": settingsOf(opts),
+	}
+	text, err := json.Marshal(config)
+	check(err)
+	path := filepath.Join(dir, "config.json")
+	check(os.WriteFile(path, text, 0o600))
+	log, err := os.Create(filepath.Join(caseDir, "sidecar.log"))
+	check(err)
+	s.command = exec.Command("/bin/sh", "-c", runLine())
+	s.command.Env = append(os.Environ(), "NODE_NAME=n1", "NODE_LISTEN="+s.address, "NODE_DISCOVERY="+discovery,
+		"NODE_CONFIG="+path, "TMPDIR="+tmp)
+	s.command.Stdout, s.command.Stderr = log, log
+	s.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	check(s.command.Start())
+	atExit(func() {
+		s.command.Process.Kill()
+		<-s.exited
+	})
+	go func() {
+		s.command.Wait()
+		record("sidecar process ended: %v", s.command.ProcessState)
+		close(s.exited)
+	}()
+	for begin := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		response, err := http.Get("http://" + s.address + "/up")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Since(begin) > 10*time.Second {
+			fatal("the sidecar is not ready after 10 s: %v", err)
+		}
+	}
+	record("sidecar ready at %s, pid %d, command %q", s.address, s.command.Process.Pid, runLine())
+	return s
+}
+
+// running reports whether the sidecar process has not ended.
+func (s *sidecar) running() bool {
+	select {
+	case <-s.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// runLine returns the value of the key run in deploy/balancer.toml.
+func runLine() string {
+	text, err := os.ReadFile("deploy/balancer.toml")
+	check(err)
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, "run = "); found {
+			return strings.Trim(strings.TrimSpace(value), `"`)
+		}
+	}
+	fatal("no key run in deploy/balancer.toml")
+	return ""
+}
