--- a/review/_standins/server.go
+++ b/review/_standins/server.go
@@ -141,3 +141,13 @@
 	m.runs[key]++
 	return true, since
 }
+
+// sinceRun returns the time since a zone last ran a key, or 0 if it has not run it.
+func (m *keyMemory) sinceRun(zone, key string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if last, known := m.ranAt[zone+" "+key]; known {
+		return time.Since(last)
+	}
+	return 0
+}
