--- a/review/_standins/client.go
+++ b/review/_standins/client.go
@@ -38,10 +38,15 @@
 	reader *bufio.Reader
 }
 
+func newClientConn(conn net.Conn) *clientConn {
+	return &clientConn{TCPConn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}
+}
+
+// dial connects to the sidecar.
 func dial(address string) *clientConn {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	check(err)
-	return &clientConn{TCPConn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}
+	return newClientConn(conn)
 }
 
 // answer is what a client got for a request.
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -39,10 +39,12 @@
 
 // cases maps the name of each case to its function, which returns whether the rule held.
 var cases = map[string]func() bool{
+	"called-off":   playCalledOff,
 	"cut-answer":   playCutAnswer,
 	"foreign-data": playForeignData,
 	"late-repeat":  playLateRepeat,
 	"hung-upload":  playHungUpload,
+	"late-body":    playLateBody,
 }
 
 func main() {
