--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -37,14 +37,16 @@
 	exitFuncs []func()
 )
 
-// cases maps the name of each case to its function, which returns whether the rule held.
+// cases maps the name of each case to its function, which returns whether the rule held. The last three are no cases of the
+// review; REPORT.md says why.
 var cases = map[string]func() bool{
-	"called-off":   playCalledOff,
-	"cut-answer":   playCutAnswer,
+	"called-off":  playCalledOff,  // review/1
+	"late-repeat": playLateRepeat, // review/2
+	"cut-answer":  playCutAnswer,  // review/3
+
 	"foreign-data": playForeignData,
-	"late-repeat":  playLateRepeat,
-	"hung-upload":  playHungUpload,
 	"late-body":    playLateBody,
+	"hung-upload":  playHungUpload,
 }
 
 func main() {
