--- a/internal/eventloop/events_upstream.go
+++ b/internal/eventloop/events_upstream.go
@@ -12,13 +12,19 @@
 var _ upstream.Observer = (*Loop)(nil)
 
 // uploadSent reports that the last byte of a long request body was sent to the endpoint.
-type uploadSent struct{ attempt *upstream.Attempt }
+type uploadSent struct {
+	attempt        *upstream.Attempt
+	unacknowledged int // as in upstream.Observer
+}
 
-func (ev uploadSent) apply(l *Loop) { l.handleUploadSent(ev.attempt) }
+func (ev uploadSent) apply(l *Loop) {
+	l.handleUploadSent(ev.attempt)
+	l.logRetriedUpload(ev)
+}
 
 // UploadSent tells the loop that the last byte of a long request body was sent to the endpoint.
-func (l *Loop) UploadSent(attempt *upstream.Attempt) {
-	l.inbox.post(uploadSent{attempt: attempt})
+func (l *Loop) UploadSent(attempt *upstream.Attempt, unacknowledged int) {
+	l.inbox.post(uploadSent{attempt: attempt, unacknowledged: unacknowledged})
 }
 
 // responseStarted reports that the head of a successful response arrived.
--- a/internal/eventloop/log.go
+++ b/internal/eventloop/log.go
@@ -22,6 +22,17 @@
 		"client_disconnected", ev.outcome.ClientDisconnected, "request_done", !req.awaitsResponse(), "error", ev.outcome.Err)
 }
 
+// logRetriedUpload logs that a retry has sent the last byte of a long body to the kernel, and how many bytes the endpoint's
+// machine had not received then.
+func (l *Loop) logRetriedUpload(ev uploadSent) {
+	req := l.requests.byID[ev.attempt.RequestID]
+	if req == nil || ev.attempt.Number == 0 {
+		return
+	}
+	l.log.Info("retry sent a long body", "request", req.exchange.TraceID, "attempt", ev.attempt.Number,
+		"endpoint", ev.attempt.Endpoint.Name, "unacknowledged_bytes", ev.unacknowledged)
+}
+
 // logUnserved logs why a request ends without a response from an endpoint. It logs nothing if the request already has
 // its final response.
 func (l *Loop) logUnserved(req *request, level slog.Level, reason unservedReason) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -17,6 +17,7 @@
 	Write     Call = "write"     // write to a client's connection
 	Receive   Call = "receive"   // read from an endpoint's connection
 	Send      Call = "send"      // write to an endpoint's connection
+	SendQueue Call = "sendqueue" // ioctl for the unacknowledged bytes of a connection
 	Accept    Call = "accept"    // accept a connection
 	Duplicate Call = "duplicate" // duplicate the descriptor of an accepted connection
 	Connect   Call = "connect"   // connect to an endpoint
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -37,11 +37,16 @@
 	NoRetry bool
 }
 
+// UnknownLength is the length of a send queue that could not be read.
+const UnknownLength = -1
+
 // Observer is notified of the progress of an attempt. The goroutines of the attempt call its methods, which must not block
 // for long.
 type Observer interface {
-	// UploadSent is called when the last byte of a streamed request body was written to the endpoint.
-	UploadSent(attempt *Attempt)
+	// UploadSent is called when the last byte of a streamed request body was written to the endpoint. The kernel has
+	// accepted the byte then. unacknowledged is the number of bytes that the endpoint's machine had not acknowledged, or
+	// UnknownLength.
+	UploadSent(attempt *Attempt, unacknowledged int)
 	// ResponseStarted is called when the head of a successful response has arrived, but not its complete body.
 	// startedAt is when the head arrived.
 	ResponseStarted(attempt *Attempt, startedAt time.Time)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,6 +37,19 @@
 	return socket.WriteConn(c.Conn, data, fault.Send)
 }
 
+// unacknowledged returns how many of the written bytes the endpoint's machine has not acknowledged, or UnknownLength.
+func (c *endpointConn) unacknowledged() int {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return UnknownLength
+	}
+	count, err := socket.Unacknowledged(raw)
+	if err != nil {
+		return UnknownLength
+	}
+	return count
+}
+
 // stale reports whether the endpoint has restarted or moved since the connection was opened. A stale connection leads to a
 // previous incarnation of the endpoint, although it may still appear to be open.
 func (c *endpointConn) stale() bool { return c.address != c.endpoint.Address.Load() }
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -92,7 +92,7 @@
 	c.metrics.Attempts.Add(1)
 	responseDeadline := time.Now().Add(attempt.PostUploadTimeout)
 	attempt.setReadDeadline(conn, earlier(attempt.Deadline, responseDeadline))
-	attempt.Observer.UploadSent(attempt)
+	attempt.Observer.UploadSent(attempt, conn.unacknowledged())
 }
 
 // handleResponse returns the outcome of a round trip that got a response. If the response is streamed, it returns when
