Reset a connection that is given up with bytes the endpoint has not received

What callers saw: an order that was given up (cancelled, or out of time) could reach its endpoint completely and be executed later, also after its retry.

Cause: Pool.closeConn closes the connection. The kernel then goes on delivering what is left in the send queue. It takes megabytes from the sidecar at once, and delivers them as slowly as the endpoint reads.

Change: Client.releaseConn has a connection that is not reused reset if SIOCOUTQ reports unacknowledged bytes or fails. The reset discards the queue.

The writer of uploads is excluded: buffered bodies, which it does not write, are affected too.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -58,12 +58,13 @@
 	return c.releaseConn(conn, result)
 }
 
-// releaseConn returns a connection to the pool, or closes it if it cannot be reused. It returns the outcome of the
-// round trip.
+// releaseConn returns a connection to the pool, or closes it if it cannot be reused: what it has not delivered by then is
+// never delivered. It returns the outcome of the round trip.
 func (c *Client) releaseConn(conn *endpointConn, result roundTripOutcome) Outcome {
 	if result.connReusable {
 		c.pool.put(conn)
 	} else {
+		conn.discardUnsent()
 		c.pool.closeConn(conn)
 	}
 	return result.outcome
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -50,6 +50,18 @@
 	return count
 }
 
+// discardUnsent makes Close reset the connection if bytes may be left that the endpoint's machine has not acknowledged.
+// Otherwise the kernel would go on delivering them, for minutes if necessary, and the endpoint could execute a request that
+// was given up.
+func (c *endpointConn) discardUnsent() {
+	if c.unacknowledged() == 0 {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		tcp.SetLinger(0)
+	}
+}
+
 // stale reports whether the endpoint has restarted or moved since the connection was opened. A stale connection leads to a
 // previous incarnation of the endpoint, although it may still appear to be open.
 func (c *endpointConn) stale() bool { return c.address != c.endpoint.Address.Load() }
