Withdraw a keyed retry that has not arrived when the dedup window ends

What callers saw: an order with a long body was executed twice.

Cause: mayRetryAfterExecution checks the window when a retry starts, and nothing limits when it arrives.

Change: SendAttempt has SendBy, the earliest end of a dedup window of an attempt that may have been executed. Package upstream sends nothing after it, and withdraws the attempt at that time unless all bytes are acknowledged (SIOCOUTQ); its connection is reset. The window counts from just before the last byte is written. An attempt whose last byte was not sent never counts as executed.

--- a/balance/actions.go
+++ b/balance/actions.go
@@ -5,7 +5,7 @@
 
 // The kinds of actions. Each comment lists the fields of Action that are set in addition to Kind.
 const (
-	SendAttempt    ActionKind = iota // Request, Endpoint
+	SendAttempt    ActionKind = iota // Request, Endpoint, SendBy
 	RejectRequest                    // Request, RetryAfter: final response; the client may retry safely
 	FailRequest                      // Request: final response; the request may have been executed
 	CancelAttempt                    // Request, Attempt
@@ -23,6 +23,7 @@
 	Attempt    int // index of the attempt, from 0
 	Endpoint   EndpointID
 	Deadline   Milliseconds // when an attempt times out; 0, as this package leaves it: with its request
+	SendBy     Milliseconds // when the endpoint must have received the complete request; 0: no limit
 	RetryAfter Milliseconds // how long a rejected client should wait before a retry
 	Delay      Milliseconds // time until the timer fires
 	Token      uint64       // identifies the timer
--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -3,7 +3,7 @@
 // attempt is one attempt of a request at an endpoint.
 type attempt struct {
 	endpoint        *endpoint
-	sentAt          Milliseconds
+	sentAt          Milliseconds // when it started, or when the last byte of a long body was sent
 	inFlight        bool
 	neverExecuted   bool // its result proves that it was not executed
 	connReset       bool // it ended because its connection broke
@@ -29,6 +29,7 @@
 	if b.hasFreshReport(ep) {
 		attempt.inFlightBefore = b.estimatedInFlight(ep)
 	}
+	sendBy := req.sendLimit()
 	ep.slowStart.takeToken()
 	ep.load.inFlight++
 	ep.load.sentSinceReport++
@@ -38,7 +39,7 @@
 	if !req.Uploading {
 		b.load.add(req, attempt)
 	}
-	b.emit(Action{Kind: SendAttempt, Request: req.ID, Endpoint: ep.ID})
+	b.emit(Action{Kind: SendAttempt, Request: req.ID, Endpoint: ep.ID, SendBy: sendBy})
 }
 
 // cancelAttempts cancels the attempts of a request that are in flight, except the one with index keep.
@@ -76,7 +77,7 @@
 // records the parts of the outcome that recordOutcome does not: the load report, and failures to connect.
 func (b *Balancer) recordAttemptEnd(req *request, attempt *attempt, ev Outcome) {
 	attempt.inFlight = false
-	attempt.neverExecuted = ev.Result.NeverExecuted()
+	attempt.neverExecuted = ev.Incomplete || ev.Result.NeverExecuted()
 	attempt.connReset = ev.Result == ConnReset
 	attempt.endpoint.load.inFlight--
 	b.load.remove(req, attempt)
@@ -98,7 +99,7 @@
 	req.deadline = b.now + ev.Remaining
 	for _, a := range req.attempts {
 		if a.inFlight {
-			a.sentAt = b.now
+			a.sentAt = b.now - ev.SinceSent
 			b.load.add(req, a)
 		}
 	}
--- a/balance/events.go
+++ b/balance/events.go
@@ -107,6 +107,9 @@
 	// NoRetry is set if no further attempt is possible: the body is no longer buffered, or the response could
 	// not be forwarded in time, and neither could that of another attempt.
 	NoRetry bool
+	// Incomplete is set if the last byte of the request was not sent and never will be. The endpoint then has
+	// not executed the request, whatever its response is.
+	Incomplete bool
 	// LoadReport holds values in the order of Config.LoadReportFields, or is empty. It is not retained.
 	LoadReport []float32
 }
@@ -116,6 +119,7 @@
 type UploadComplete struct {
 	Request       RequestID
 	Remaining     Milliseconds // as in Request
+	SinceSent     Milliseconds // how long ago the attempt in flight began to send the last byte
 	BodyDiscarded bool         // the body is no longer buffered, so that no further attempt is possible
 }
 
--- a/balance/property_test.go
+++ b/balance/property_test.go
@@ -264,6 +264,10 @@
 			checker.t.Fatalf("request %d: got a retry at endpoint %d, want none there as it may have been executed",
 				a.Request, a.Endpoint)
 		}
+		if a.SendBy == 0 || a.SendBy > previous.sentAt+class.DedupWindow {
+			checker.t.Fatalf("request %d: got a retry that must arrive by %v, want %v at the latest, the end of the dedup window",
+				a.Request, a.SendBy, previous.sentAt+class.DedupWindow)
+		}
 	}
 	req.attempts = append(req.attempts, trackedAttempt{endpoint: target, sentAt: checker.now, inFlight: true})
 	checker.checkSlowStart(target)
--- a/balance/retrypolicy.go
+++ b/balance/retrypolicy.go
@@ -6,7 +6,8 @@
 //	                  not executed           possibly executed
 //	                  (NeverExecuted)        (in flight, timed out, reset, cancelled, error response)
 //	Idempotent        retry at any endpoint  retry at any endpoint
-//	IdempotencyKey    retry at any endpoint  retry within DedupWindow, at endpoints of the same DedupScope
+//	IdempotencyKey    retry at any endpoint  retry within DedupWindow, at endpoints of the same DedupScope;
+//	                                         they must receive the complete request within it (sendLimit)
 //	NonIdempotent     retry at any endpoint  no retry
 //
 // In addition, the number of attempts is limited, and each endpoint gets at most one attempt of a request.
@@ -47,11 +48,36 @@
 	case NonIdempotent:
 		return false
 	case IdempotencyKey: // after the window, endpoints may have forgotten the key
-		return now < earlier.sentAt+req.class.DedupWindow
+		return now < req.dedupWindowEnd(earlier)
 	}
 	return true
 }
 
+// dedupWindowEnd returns when endpoints may forget the key of a request that an attempt may have executed.
+func (req *request) dedupWindowEnd(earlier *attempt) Milliseconds {
+	return earlier.sentAt + req.class.DedupWindow
+}
+
+// sendLimit returns when an endpoint must have received the complete request of the next attempt, or 0 if
+// there is no limit. An endpoint executes a request when its last byte has arrived, which may be long after
+// the start of the attempt. If that is after the dedup window of an attempt that may have been executed, the
+// request may be executed twice.
+func (req *request) sendLimit() Milliseconds {
+	if req.class.Idempotency != IdempotencyKey {
+		return 0
+	}
+	limit := never
+	for _, a := range req.attempts {
+		if !a.neverExecuted {
+			limit = min(limit, req.dedupWindowEnd(a))
+		}
+	}
+	if limit == never {
+		return 0
+	}
+	return limit
+}
+
 // mayAttemptAt reports whether the next attempt may go to an endpoint. The endpoint must not have had an
 // attempt of the request, and must be in the dedup scope of all attempts that may have been executed.
 func (req *request) mayAttemptAt(ep *endpoint, now Milliseconds) bool {
--- a/balance/retrypolicy_test.go
+++ b/balance/retrypolicy_test.go
@@ -148,3 +148,94 @@
 		})
 	}
 }
+
+// An endpoint executes a request when its last byte has arrived. If a retry arrived after the dedup window of an earlier
+// attempt, the request could be executed twice. Tests that a retry with a key must arrive within the window of each
+// attempt that may have been executed, and that other attempts have no limit.
+func TestRetryMustArriveWithinDedupWindow(t *testing.T) {
+	const window = 200
+	for name, test := range map[string]struct {
+		class   int
+		outcome Outcome
+		want    Milliseconds // after the first attempt was sent; 0: no limit
+	}{
+		"key, possibly executed":        {globalKeyClass, Outcome{Result: ConnReset}, window},
+		"key, never executed":           {globalKeyClass, Outcome{Result: ConnectFailed}, 0},
+		"key, error before last byte":   {globalKeyClass, Outcome{Result: ServerError, Incomplete: true}, 0},
+		"idempotent, possibly executed": {idempotentClass, Outcome{Result: ConnReset}, 0},
+	} {
+		cfg := baseConfig()
+		for i := range cfg.Classes {
+			cfg.Classes[i].LatencyObjective = cfg.Classes[i].Deadline
+			cfg.Classes[i].DedupWindow = window
+		}
+		h := newHarness(t, cfg, newEndpoints(8)...)
+		id, actions := h.request(test.class)
+		sentAt := h.now
+		if send := sendAction(t, actions); send.SendBy != 0 {
+			t.Errorf("%s: got a first attempt that must arrive by %v, want no limit", name, send.SendBy)
+		}
+		h.now += 100
+		test.outcome.Request = id
+		want := test.want
+		if want > 0 {
+			want += sentAt
+		}
+		if send := sendAction(t, h.dispatch(test.outcome)); send.SendBy != want {
+			t.Errorf("%s: got a retry that must arrive by %v, want %v", name, send.SendBy, want)
+		}
+	}
+}
+
+// The dedup window begins when the last byte of a long body is sent, not when the balancer is told of it.
+func TestDedupWindowBeginsWhenLastByteIsSent(t *testing.T) {
+	const window, untilLastByte, sinceSent = 200, 1000, 30
+	cfg := baseConfig()
+	cfg.Classes[globalKeyClass].DedupWindow = window
+	h := newHarness(t, cfg, newEndpoints(8)...)
+	const id = RequestID(1)
+	h.dispatch(Request{ID: id, Class: globalKeyClass, Remaining: 1000, Uploading: true})
+	h.now += untilLastByte
+	h.dispatch(UploadComplete{Request: id, Remaining: 1000, SinceSent: sinceSent})
+	want := h.now - sinceSent + window
+	if send := sendAction(t, h.dispatch(Outcome{Request: id, Result: ConnReset})); send.SendBy != want {
+		t.Errorf("got a retry that must arrive by %v, want %v", send.SendBy, want)
+	}
+}
+
+// sendAction returns the only attempt among actions.
+func sendAction(t *testing.T, actions []Action) Action {
+	t.Helper()
+	var sends []Action
+	for _, action := range actions {
+		if action.Kind == SendAttempt {
+			sends = append(sends, action)
+		}
+	}
+	if len(sends) != 1 {
+		t.Fatalf("got %d attempts in %+v, want 1", len(sends), actions)
+	}
+	return sends[0]
+}
+
+// New settings change the dedup window between the first attempt of a request and its retry. The endpoints that have
+// the key remember it as the settings of the open request say.
+func TestOpenRequestKeepsItsDedupWindow(t *testing.T) {
+	const window, newWindow = 200, 5000
+	cfg := baseConfig()
+	cfg.Classes[globalKeyClass].DedupWindow = window
+	h := newHarness(t, cfg, newEndpoints(8)...)
+	id, _ := h.request(globalKeyClass)
+	want := h.now + window
+	changed := baseConfig()
+	changed.Classes[globalKeyClass].DedupWindow = newWindow
+	unchangedOrder := make([]int, len(cfg.Classes))
+	for i := range unchangedOrder {
+		unchangedOrder[i] = i
+	}
+	h.b.Reconfigure(changed, unchangedOrder, nil)
+	h.now += 100
+	if send := sendAction(t, h.dispatch(Outcome{Request: id, Result: ConnReset})); send.SendBy != want {
+		t.Errorf("got a retry that must arrive by %v, want %v", send.SendBy, want)
+	}
+}
--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -5,7 +5,6 @@
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/exchange"
-	"cindersaddle/internal/upstream"
 )
 
 // registerRequest adds a new request to the index and passes it to the balancer, which decides whether to admit it.
@@ -27,8 +26,9 @@
 }
 
 // handleUploadSent starts the deadline of a request after the last byte of its long body has been sent.
-func (l *Loop) handleUploadSent(attempt *upstream.Attempt) {
-	attempt.SentAt = l.clock.now
+func (l *Loop) handleUploadSent(ev uploadSent) {
+	attempt := ev.attempt
+	attempt.SentAt = l.clock.toMilliseconds(ev.sent.At)
 	req := l.requests.byID[attempt.RequestID]
 	if req == nil || !req.isUploading() {
 		return
@@ -38,6 +38,7 @@
 	l.notifyBalancer(balance.UploadComplete{
 		Request:       req.id,
 		Remaining:     req.exchange.Request.Remaining,
+		SinceSent:     max(0, l.clock.now-attempt.SentAt),
 		BodyDiscarded: attempt.Message.Upload.Discarded.Load(),
 	})
 }
--- a/internal/eventloop/attemptend.go
+++ b/internal/eventloop/attemptend.go
@@ -47,6 +47,7 @@
 		Duration:   duration,
 		Finished:   finished,
 		NoRetry:    attempt.NoRetry,
+		Incomplete: ev.outcome.Incomplete,
 		LoadReport: ev.outcome.LoadReport,
 	}
 	if upload := attempt.Message.Upload; upload != nil && upload.Discarded.Load() {
--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -32,17 +32,21 @@
 	if upload := req.exchange.Message.Upload; upload != nil {
 		upload.CountReadingPause()
 	}
+	deadline := req.attemptDeadline(l.clock.now, action.Deadline)
 	attempt := &upstream.Attempt{
 		RequestID:         req.id,
 		Number:            len(req.attempts.byNumber),
 		Endpoint:          l.endpoints.byID[action.Endpoint],
 		Message:           req.exchange.Message,
 		SentAt:            l.clock.now,
-		Deadline:          l.clock.toTime(req.attemptDeadline(l.clock.now, action.Deadline)),
+		Deadline:          l.clock.toTime(deadline),
 		PostUploadTimeout: req.timeAfterUpload(l.clock.now).Duration(),
 		Observer:          l,
 		LoopDone:          l.ctx.Done(),
 	}
+	if action.SendBy > 0 {
+		attempt.SendBy = l.clock.toTime(min(action.SendBy, deadline))
+	}
 	attempt.Context, attempt.Cancel = context.WithCancel(l.ctx) // handleAttemptEnd calls Cancel
 	return attempt
 }
--- a/internal/eventloop/events_upstream.go
+++ b/internal/eventloop/events_upstream.go
@@ -13,18 +13,18 @@
 
 // uploadSent reports that the last byte of a long request body was sent to the endpoint.
 type uploadSent struct {
-	attempt        *upstream.Attempt
-	unacknowledged int // as in upstream.Observer
+	attempt *upstream.Attempt
+	sent    upstream.SentUpload
 }
 
 func (ev uploadSent) apply(l *Loop) {
-	l.handleUploadSent(ev.attempt)
+	l.handleUploadSent(ev)
 	l.logRetriedUpload(ev)
 }
 
 // UploadSent tells the loop that the last byte of a long request body was sent to the endpoint.
-func (l *Loop) UploadSent(attempt *upstream.Attempt, unacknowledged int) {
-	l.inbox.post(uploadSent{attempt: attempt, unacknowledged: unacknowledged})
+func (l *Loop) UploadSent(attempt *upstream.Attempt, sent upstream.SentUpload) {
+	l.inbox.post(uploadSent{attempt: attempt, sent: sent})
 }
 
 // responseStarted reports that the head of a successful response arrived.
--- a/internal/eventloop/log.go
+++ b/internal/eventloop/log.go
@@ -30,7 +30,7 @@
 		return
 	}
 	l.log.Info("retry sent a long body", "request", req.exchange.TraceID, "attempt", ev.attempt.Number,
-		"endpoint", ev.attempt.Endpoint.Name, "unacknowledged_bytes", ev.unacknowledged)
+		"endpoint", ev.attempt.Endpoint.Name, "unacknowledged_bytes", ev.sent.Unacknowledged)
 }
 
 // logUnserved logs why a request ends without a response from an endpoint. It logs nothing if the request already has
--- a/internal/eventloop/request_test.go
+++ b/internal/eventloop/request_test.go
@@ -6,6 +6,7 @@
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/upstream"
 )
 
 // expectState checks the state of a request.
@@ -31,7 +32,7 @@
 	expectState(t, req, stateUploading)
 
 	attempt, cancelled := addAttempt(l, req), addAttempt(l, req)
-	l.handleUploadSent(attempt)
+	l.handleUploadSent(uploadSent{attempt: attempt, sent: upstream.SentUpload{At: time.Now()}})
 	expectState(t, req, stateWaiting)
 
 	download := &exchange.Download{Done: make(chan error, 1), Cancel: attempt.Cancel}
@@ -70,7 +71,7 @@
 	attempt := addAttempt(l, req)
 	l.handleDisconnect(ex)
 	expectState(t, req, stateDone)
-	l.handleUploadSent(attempt)
+	l.handleUploadSent(uploadSent{attempt: attempt, sent: upstream.SentUpload{At: time.Now()}})
 	expectState(t, req, stateDone)
 	if len(l.timers.heap) != 0 || len(ex.Responses) != 0 {
 		t.Errorf("got %d timers and %d responses, want none", len(l.timers.heap), len(ex.Responses))
--- a/internal/eventloop/upload_test.go
+++ b/internal/eventloop/upload_test.go
@@ -1,12 +1,14 @@
 package eventloop
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/upstream"
 )
 
 // The first attempt of a request with a long body fails, and the next one starts some time after the last byte arrived.
@@ -42,7 +44,7 @@
 		if ends := time.Until(attempt.Deadline); test.complete && ends > 600*time.Millisecond {
 			t.Errorf("%s: got an attempt that ends in %v, want at most 600 ms", name, ends)
 		}
-		l.handleUploadSent(attempt)
+		l.handleUploadSent(uploadSent{attempt: attempt, sent: upstream.SentUpload{At: time.Now()}})
 		if deadline := req.deadline - l.clock.now; deadline > test.want || deadline < test.want-tolerance {
 			t.Errorf("%s: got a request that ends in %v ms, want %v", name, deadline, test.want)
 		}
@@ -81,3 +83,33 @@
 		t.Errorf("got %v ms announced to the endpoint, want at most %v", announced, want)
 	}
 }
+
+// TestRetryIsSentWithinBalancerLimit checks that an attempt gets the balancer's limit for sending, or its own deadline if
+// that is earlier. Without the limit, an endpoint could receive a retry after it has forgotten the key.
+func TestRetryIsSentWithinBalancerLimit(t *testing.T) {
+	const timeLimit = balance.Milliseconds(20_000)
+	for name, test := range map[string]struct {
+		limit, want balance.Milliseconds // after now; 0: no limit
+	}{
+		"no limit":            {0, 0},
+		"before the deadline": {500, 500},
+		"after the deadline":  {2 * timeLimit, timeLimit},
+		"far in the future":   {balance.Milliseconds(math.MaxFloat64), timeLimit},
+	} {
+		l := newTestLoop(t)
+		req := newOpenRequest(l)
+		req.setDeadline(l.clock.now)
+		action := &balance.Action{Kind: balance.SendAttempt, Request: req.id}
+		if test.limit > 0 {
+			action.SendBy = l.clock.now + test.limit
+		}
+		attempt := l.newAttempt(req, action)
+		if test.want == 0 && attempt.SendBy.IsZero() {
+			continue
+		}
+		got := l.clock.toMilliseconds(attempt.SendBy) - l.clock.now
+		if math.Abs(float64(got-test.want)) > 1 {
+			t.Errorf("%s: got a limit %v ms from now, want %v ms", name, got, test.want)
+		}
+	}
+}
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -132,6 +133,39 @@
 	}
 }
 
+// TestLongOrderIsNotExecutedAfterDedupWindow guards against the second execution of an order with a long body: the endpoint
+// that gets the retry reads it so slowly that its last byte would arrive after the dedup window. The order must fail.
+func TestLongOrderIsNotExecutedAfterDedupWindow(t *testing.T) {
+	const bodyLength = 768 << 10 // takes a slow endpoint about 1.5 s
+	endpoints := make([]*sidecartest.SlowServer, 2)
+	resetAndBecomeSlow := func(conn net.Conn) bool {
+		for _, endpoint := range endpoints {
+			endpoint.Fast.Store(false)
+		}
+		return sidecartest.Reset(conn)
+	}
+	for i := range endpoints {
+		endpoints[i] = sidecartest.NewSlowServer(t, resetAndBecomeSlow)
+		endpoints[i].Fast.Store(true)
+	}
+	cfg := sidecartest.Config(t,
+		sidecartest.ReadyEndpoint("s-1", endpoints[0].Addr), sidecartest.ReadyEndpoint("s-2", endpoints[1].Addr))
+	cfg.Balance.Classes[cfg.ClassIndex["reserve"]].DedupWindow = 1000
+	sidecar := startSidecar(t, cfg)
+	request := sidecar.newRequest("reserve")
+	request.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", bodyLength)))
+	request.ContentLength = bodyLength
+	if resp, _ := sidecar.do(request); resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got status %d, want 502", resp.StatusCode)
+	}
+	for _, endpoint := range endpoints { // one has executed the order, the other has received a part of the retry
+		sidecartest.Next(t, endpoint.Done)
+	}
+	if got := endpoints[0].CompleteRequests() + endpoints[1].CompleteRequests(); got != 1 {
+		t.Errorf("the endpoints received %d complete orders, want 1", got)
+	}
+}
+
 // TestTruncatedRequestBody guards against an endpoint that takes a part of a body for the whole, after the client
 // disconnected within the body. The request must end, must not reach an endpoint as a complete request, and must not
 // affect later requests.
--- a/internal/sidecartest/slowserver.go
+++ b/internal/sidecartest/slowserver.go
@@ -29,6 +29,7 @@
 type SlowServer struct {
 	Addr     string
 	Done     chan bool    // receives a value at the end of each connection
+	Fast     atomic.Bool  // reads as fast as the bytes arrive
 	complete atomic.Int64 // complete requests received
 	step     Step
 }
@@ -78,7 +79,9 @@
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	for err == nil {
 		_, err = io.CopyN(io.Discard, request.Body, slowServerPiece)
-		time.Sleep(slowServerPause)
+		if !s.Fast.Load() {
+			time.Sleep(slowServerPause)
+		}
 	}
 	if err != io.EOF {
 		return
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -19,6 +19,7 @@
 	Endpoint          *Endpoint
 	Message           *exchange.Message
 	Deadline          time.Time     // when the attempt times out
+	SendBy            time.Time     // when the endpoint must have received the complete request; zero: no limit
 	PostUploadTimeout time.Duration // maximum time from the last byte of a streamed request body to the response
 	Context           context.Context
 	Cancel            context.CancelFunc
@@ -28,6 +29,9 @@
 	// RequestDone is set by the event loop when the request has its final response: the attempt must send nothing more.
 	RequestDone atomic.Bool
 
+	requestWritten atomic.Bool // the kernel has accepted the last byte of the request
+	withdrawn      atomic.Bool // the endpoint had not received the complete request at SendBy
+
 	// The event loop owns the fields below. The goroutine of the attempt does not use them.
 
 	SentAt        balance.Milliseconds // when the attempt was started, on the event loop's clock
@@ -40,13 +44,17 @@
 // UnknownLength is the length of a send queue that could not be read.
 const UnknownLength = -1
 
+// SentUpload describes a streamed request body whose last byte the kernel has accepted.
+type SentUpload struct {
+	At             time.Time // just before the last byte was written
+	Unacknowledged int       // bytes that the endpoint's machine had not acknowledged after the write, or UnknownLength
+}
+
 // Observer is notified of the progress of an attempt. The goroutines of the attempt call its methods, which must not block
 // for long.
 type Observer interface {
-	// UploadSent is called when the last byte of a streamed request body was written to the endpoint. The kernel has
-	// accepted the byte then. unacknowledged is the number of bytes that the endpoint's machine had not acknowledged, or
-	// UnknownLength.
-	UploadSent(attempt *Attempt, unacknowledged int)
+	// UploadSent is called when the last byte of a streamed request body was written to the endpoint.
+	UploadSent(attempt *Attempt, sent SentUpload)
 	// ResponseStarted is called when the head of a successful response has arrived, but not its complete body.
 	// startedAt is when the head arrived.
 	ResponseStarted(attempt *Attempt, startedAt time.Time)
@@ -58,22 +66,27 @@
 // notifyResponseStarted notifies the observer that the head of a successful response has arrived.
 func (a *Attempt) notifyResponseStarted() { a.Observer.ResponseStarted(a, time.Now()) }
 
-// obsolete reports whether the result of the attempt is no longer needed, so that nothing may be sent for it.
-func (a *Attempt) obsolete() bool { return a.RequestDone.Load() || a.Context.Err() != nil }
+// obsolete reports whether nothing more may be sent for the attempt: its result is no longer needed, or it was withdrawn.
+func (a *Attempt) obsolete() bool { return a.RequestDone.Load() || a.interrupted() }
+
+// interrupted reports whether the attempt was cancelled or withdrawn.
+func (a *Attempt) interrupted() bool { return a.withdrawn.Load() || a.Context.Err() != nil }
 
 // expired reports whether the deadline of the attempt has passed.
 func (a *Attempt) expired() bool { return !time.Now().Before(a.Deadline) }
 
 // mustNotSend reports whether the attempt must end without sending its first byte.
-func (a *Attempt) mustNotSend() bool { return a.Endpoint.Closed.Load() || a.obsolete() || a.expired() }
+func (a *Attempt) mustNotSend() bool {
+	return a.Endpoint.Closed.Load() || a.obsolete() || a.tooLateToSend()
+}
 
-// setReadDeadline sets the deadline for reading the response. A cancellation interrupts the attempt by setting a past
-// deadline. If the new deadline replaced the past one, the cancellation would be lost and the attempt would continue
+// setReadDeadline sets the deadline for reading the response. A cancellation, or sendLimit, interrupts the attempt by
+// setting a past deadline. If the new deadline replaced the past one, the cancellation would be lost and the attempt would continue
 // until its deadline. The check below therefore sets the past deadline again if the attempt is already cancelled; a
 // later cancellation replaces the new deadline itself.
 func (a *Attempt) setReadDeadline(conn net.Conn, deadline time.Time) {
 	conn.SetReadDeadline(deadline)
-	if a.Context.Err() != nil {
+	if a.interrupted() {
 		conn.SetReadDeadline(socket.PastDeadline)
 	}
 }
--- a/internal/upstream/attemptresult.go
+++ b/internal/upstream/attemptresult.go
@@ -28,7 +28,7 @@
 // connectErrorResult returns the result of an attempt that got no connection. If its deadline has passed, the failure
 // does not count against the endpoint, which may have had less time than the connect timeout.
 func (a *Attempt) connectErrorResult(err error) balance.Result {
-	if a.expired() {
+	if a.tooLateToSend() {
 		return balance.NotAttempted
 	}
 	return noConnectionResult(a.Context, err)
@@ -36,7 +36,7 @@
 
 // writeErrorResult returns the result of an attempt whose request was not written completely, and so was not executed.
 func (a *Attempt) writeErrorResult(err error) balance.Result {
-	if a.Context.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
+	if a.interrupted() || errors.Is(err, os.ErrDeadlineExceeded) {
 		return balance.NotAttempted
 	}
 	return balance.ConnectFailed
@@ -45,7 +45,7 @@
 // readErrorResult returns the result of an attempt whose request was written completely but whose response is
 // incomplete. The request may have been executed.
 func (a *Attempt) readErrorResult(err error) balance.Result {
-	if a.Context.Err() != nil {
+	if a.interrupted() {
 		return balance.Cancelled
 	}
 	return responseErrorResult(err)
@@ -62,7 +62,7 @@
 // streamResult returns the result of an attempt whose streamed response ended with err, or completely if err is nil.
 func (a *Attempt) streamResult(err error) balance.Result {
 	switch {
-	case errors.Is(err, exchange.ErrDownloadStopped) || a.Context.Err() != nil:
+	case errors.Is(err, exchange.ErrDownloadStopped) || a.interrupted():
 		return balance.Cancelled
 	case err != nil:
 		return balance.ConnReset
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -40,7 +40,7 @@
 	if attempt.obsolete() {
 		return Outcome{Result: balance.NotAttempted}
 	}
-	conn, err := c.pool.get(attempt.Context, attempt.Endpoint, attempt.Deadline)
+	conn, err := c.pool.get(attempt.Context, attempt.Endpoint, attempt.sendDeadline())
 	if err != nil {
 		return Outcome{Result: attempt.connectErrorResult(err), Err: err}
 	}
@@ -53,8 +53,14 @@
 		return Outcome{Result: balance.NotAttempted, ClientDisconnected: clientDisconnected}
 	}
 	result := runInterruptible(attempt.Context, conn, attempt.Deadline, func() roundTripOutcome {
+		limit := startSendLimit(attempt, conn)
+		defer limit.stop()
 		return c.roundTrip(attempt, conn)
 	})
+	if attempt.withdrawn.Load() {
+		result.connReusable = false
+		result.outcome.Err = errReceivedTooLate
+	}
 	return c.releaseConn(conn, result)
 }
 
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -9,6 +9,9 @@
 // noSocketError wrap it.
 var errNoSocket = errors.New("no socket available")
 
+// errReceivedTooLate means that an attempt was withdrawn at Attempt.SendBy.
+var errReceivedTooLate = errors.New("endpoint had not received the complete request when the dedup window ended")
+
 // connectError reports that a connection to an endpoint could not be opened.
 type connectError struct {
 	Endpoint, Address string
--- a/internal/upstream/faults_test.go
+++ b/internal/upstream/faults_test.go
@@ -3,8 +3,11 @@
 package upstream
 
 import (
+	"errors"
+	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/fault"
@@ -63,3 +66,23 @@
 		}
 	}
 }
+
+// TestUnknownSendQueueWithdrawsRetry checks that an attempt is withdrawn at SendBy if the kernel does not report how much the
+// endpoint has received, because the request could still arrive and be executed a second time.
+func TestUnknownSendQueueWithdrawsRetry(t *testing.T) {
+	const sendBy = 50 * time.Millisecond
+	server := sidecartest.NewScriptedServer(t, func(net.Conn) bool { time.Sleep(4 * sendBy); return false })
+	client := newTestClient(t, testMaxConns)
+	fault.SetPlan(&fault.Plan{ErrorFor: func(call fault.Call) error {
+		if call == fault.SendQueue {
+			return syscall.ENOMEM
+		}
+		return nil
+	}})
+	t.Cleanup(func() { fault.SetPlan(nil) })
+	attempt := newAttempt(newEndpoint(server.Addr), sidecartest.Timeout)
+	attempt.SendBy = time.Now().Add(sendBy)
+	if outcome := expectResult(t, client, attempt, balance.Cancelled); !errors.Is(outcome.Err, errReceivedTooLate) {
+		t.Errorf("got error %v, want %v", outcome.Err, errReceivedTooLate)
+	}
+}
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -38,7 +38,7 @@
 // ignoringObserver is an Observer that ignores every call.
 type ignoringObserver struct{}
 
-func (ignoringObserver) UploadSent(*Attempt, int) {}
+func (ignoringObserver) UploadSent(*Attempt, SentUpload) {}
 
 func (ignoringObserver) ResponseStarted(*Attempt, time.Time) {}
 
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -52,6 +52,7 @@
 	if written, err := conn.Write(request); written < len(request) {
 		return failedRoundTrip(attempt.writeErrorResult(err), err)
 	}
+	attempt.requestWritten.Store(true)
 	c.metrics.Attempts.Add(1)
 	response, err := conn.reader.Next(attempt.Message.Method, deadlineObserver{attempt, conn})
 	if err != nil {
@@ -63,9 +64,9 @@
 // roundTripUpload sends a request while its body is still arriving from the client. The response may arrive before the
 // body is complete.
 func (c *Client) roundTripUpload(attempt *Attempt, conn *endpointConn) roundTripOutcome {
-	writer := newUploadWriter(attempt.Message.Upload, conn)
+	writer := newUploadWriter(attempt, conn)
 	request := attempt.Message.NewRequest(attempt.PostUploadTimeout, writer.source, writer.source.Length)
-	go writer.run(request, func() { c.uploadSent(attempt, conn) })
+	go writer.run(request, func(sentAt time.Time) { c.uploadSent(attempt, conn, sentAt) })
 
 	response, err := conn.reader.Next(attempt.Message.Method, uploadObserver{attempt: attempt})
 	var result roundTripOutcome
@@ -79,6 +80,7 @@
 	switch {
 	case err == nil:
 		result.connReusable = result.connReusable && sent
+		result.outcome.Incomplete = !sent
 		return result
 	case sent:
 		return failedRoundTrip(attempt.readErrorResult(err), err)
@@ -87,12 +89,14 @@
 	}
 }
 
-// uploadSent is called when the last byte of a streamed request body was written. It starts the time limit of the response.
-func (c *Client) uploadSent(attempt *Attempt, conn *endpointConn) {
+// uploadSent is called when the last byte of a streamed request body was written, which began at sentAt. It starts the time
+// limit of the response.
+func (c *Client) uploadSent(attempt *Attempt, conn *endpointConn, sentAt time.Time) {
+	attempt.requestWritten.Store(true)
 	c.metrics.Attempts.Add(1)
 	responseDeadline := time.Now().Add(attempt.PostUploadTimeout)
 	attempt.setReadDeadline(conn, earlier(attempt.Deadline, responseDeadline))
-	attempt.Observer.UploadSent(attempt, conn.unacknowledged())
+	attempt.Observer.UploadSent(attempt, SentUpload{At: sentAt, Unacknowledged: conn.unacknowledged()})
 }
 
 // handleResponse returns the outcome of a round trip that got a response. If the response is streamed, it returns when
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -27,6 +27,7 @@
 type uploadWriter struct {
 	source *exchange.UploadReader
 	conn   *endpointConn
+	sendBy time.Time     // as in Attempt
 	done   chan struct{} // closed when the goroutine ends
 	err    error         // why the request is incomplete; may be read after done is closed
 
@@ -38,24 +39,26 @@
 	lastByteSent    bool       // the last byte of the request was written
 }
 
-// newUploadWriter returns a writer that sends an upload from its first byte.
-func newUploadWriter(upload *exchange.Upload, conn *endpointConn) *uploadWriter {
+// newUploadWriter returns a writer that sends the upload of an attempt from its first byte.
+func newUploadWriter(attempt *Attempt, conn *endpointConn) *uploadWriter {
 	return &uploadWriter{
-		source: exchange.NewUploadReader(upload),
+		source: exchange.NewUploadReader(attempt.Message.Upload),
 		conn:   conn,
+		sendBy: attempt.SendBy,
 		done:   make(chan struct{}),
 	}
 }
 
-// run writes the request and calls onSent after the last byte is written.
-func (w *uploadWriter) run(request *http.Request, onSent func()) {
+// run writes the request. After the last byte is written, it calls onSent with the time just before that write.
+func (w *uploadWriter) run(request *http.Request, onSent func(sentAt time.Time)) {
 	defer close(w.done)
 	err := request.Write(w)
+	var sentAt time.Time
 	if err == nil {
-		err = w.writeLastByte()
+		sentAt, err = w.writeLastByte()
 	}
 	if err == nil {
-		onSent()
+		onSent(sentAt)
 		return
 	}
 	w.err = fmt.Errorf("write request to endpoint %s: %w", w.conn.endpoint.Name, err)
@@ -79,21 +82,28 @@
 	return len(p), w.writeLocked(w.buffer[:len(w.buffer)-1])
 }
 
-// writeLastByte writes the withheld byte if the client still waits for the response.
-func (w *uploadWriter) writeLastByte() error {
+// writeLastByte writes the withheld byte if the client still waits for the response. It returns the time just before the
+// write.
+func (w *uploadWriter) writeLastByte() (sentAt time.Time, err error) {
 	if err := w.source.MarkAwaitingResponse(); err != nil {
-		return exchange.ClientError{Err: err}
+		return time.Time{}, exchange.ClientError{Err: err}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	err := w.writeLocked(w.buffer[len(w.buffer)-1:])
+	sentAt = time.Now()
+	err = w.writeLocked(w.buffer[len(w.buffer)-1:])
 	w.lastByteSent = err == nil
-	return err
+	return sentAt, err
 }
 
-// writeLocked writes to the endpoint. Each write may take StallTimeout. The caller holds mu.
+// writeLocked writes to the endpoint. Each write may take StallTimeout, but not longer than until sendBy. The caller holds
+// mu.
 func (w *uploadWriter) writeLocked(p []byte) error {
-	w.conn.SetWriteDeadline(time.Now().Add(exchange.StallTimeout))
+	deadline := time.Now().Add(exchange.StallTimeout)
+	if !w.sendBy.IsZero() {
+		deadline = earlier(deadline, w.sendBy)
+	}
+	w.conn.SetWriteDeadline(deadline)
 	if w.stopped.Load() { // checked after the deadline is set, because stop sets the flag before its past deadline
 		return exchange.ErrUploadStopped
 	}
@@ -117,6 +127,9 @@
 	if attempt.Context.Err() != nil {
 		return Outcome{Result: balance.Cancelled}
 	}
+	if attempt.withdrawn.Load() {
+		return Outcome{Result: balance.NotAttempted, Err: err}
+	}
 	select {
 	case <-w.done:
 		var clientError exchange.ClientError
