Retry a long body only if the endpoint probably reads it in the dedup window

Cause: the endpoint's machine acknowledges bytes that its program reads later. Nothing reports to the sidecar how much was read, and what was acknowledged cannot be recalled.

Change: a request with a long body and a key is retried after an attempt that may have been executed only if the window is still open after as long as that attempt took: its endpoint has read the body in that time.

Evidence: TestLongBodyIsRetriedOnlyIfItIsReadInTime fails without the estimate.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -3,6 +3,8 @@
 // attempt is one attempt of a request at an endpoint.
 type attempt struct {
 	endpoint        *endpoint
+	startedAt       Milliseconds
+	endedAt         Milliseconds // set when it is no longer in flight
 	sentAt          Milliseconds // when it started, or when the last byte of a long body was sent
 	inFlight        bool
 	neverExecuted   bool // its result proves that it was not executed
@@ -23,9 +25,19 @@
 // that was sent later.
 func (a *attempt) presumedLost() bool { return a.endpoint.activity.latestSuccessSentAt > a.sentAt }
 
+// duration returns how long the attempt has taken so far, or took.
+func (a *attempt) duration(now Milliseconds) Milliseconds {
+	if a.inFlight {
+		return now - a.startedAt
+	}
+	return a.endedAt - a.startedAt
+}
+
 // sendAttempt sends a request to an endpoint.
 func (b *Balancer) sendAttempt(req *request, ep *endpoint) {
-	attempt := &attempt{endpoint: ep, sentAt: b.now, inFlight: true, inFlightBefore: unknownInFlight}
+	attempt := &attempt{
+		endpoint: ep, startedAt: b.now, sentAt: b.now, inFlight: true, inFlightBefore: unknownInFlight,
+	}
 	if b.hasFreshReport(ep) {
 		attempt.inFlightBefore = b.estimatedInFlight(ep)
 	}
@@ -77,6 +89,7 @@
 // records the parts of the outcome that recordOutcome does not: the load report, and failures to connect.
 func (b *Balancer) recordAttemptEnd(req *request, attempt *attempt, ev Outcome) {
 	attempt.inFlight = false
+	attempt.endedAt = b.now
 	attempt.neverExecuted = ev.Incomplete || ev.Result.NeverExecuted()
 	attempt.connReset = ev.Result == ConnReset
 	attempt.endpoint.load.inFlight--
--- a/balance/request.go
+++ b/balance/request.go
@@ -13,6 +13,7 @@
 	inFlight    int          // attempts in flight, at most 1: advanceRequest sends one only if there is none
 	finished    bool         // no further response or attempt is needed
 	streaming   bool         // its streamed response has started: it has no deadline and no retries
+	longBody    bool         // its body was still arriving when the request did
 	noRetry     bool         // no further attempt: the body is no longer buffered, or too little time is left
 	nextTimerAt Milliseconds // when its next timer fires; never: no timer is set
 
@@ -63,6 +64,7 @@
 		arrivedAt:   b.now,
 		deadline:    b.now + ev.Remaining,
 		nextTimerAt: never,
+		longBody:    ev.Uploading,
 	}
 	if req.class == nil {
 		req.class = &b.cfg.Classes[ev.Class]
--- a/balance/retrypolicy.go
+++ b/balance/retrypolicy.go
@@ -48,11 +48,22 @@
 	case NonIdempotent:
 		return false
 	case IdempotencyKey: // after the window, endpoints may have forgotten the key
-		return now < req.dedupWindowEnd(earlier)
+		return now+req.estimatedReadTime(earlier, now) < req.dedupWindowEnd(earlier)
 	}
 	return true
 }
 
+// estimatedReadTime returns how long an endpoint may take to read the request: no time for a short one. An
+// endpoint that may have executed a request with a long body has read it by the end of that attempt, and
+// another one is expected to take as long. Nothing reports how much the program at the endpoint has read: its
+// machine accepts bytes that the program reads later.
+func (req *request) estimatedReadTime(earlier *attempt, now Milliseconds) Milliseconds {
+	if !req.longBody {
+		return 0
+	}
+	return earlier.duration(now)
+}
+
 // dedupWindowEnd returns when endpoints may forget the key of a request that an attempt may have executed.
 func (req *request) dedupWindowEnd(earlier *attempt) Milliseconds {
 	return earlier.sentAt + req.class.DedupWindow
