Give a slow reader time as long as it accepts bytes

Cause: each write of a streamed message had a deadline of 5 s. The kernel wakes a blocked writer only when a third of the send buffer is free, 1.3 MB of 4 MB here, so the deadline passes although the peer reads all the time. Excluded: the deadline for the endpoint (no read error), eviction and shutdown (no reason logged), a client that stops (it read 64 KiB each second).

Change: socket.WriteWithStallLimit repeats a blocked write each second and gives up only if neither the kernel nor the peer has accepted a byte for the stall timeout. Streamed responses (40 s) and long bodies to endpoints (5 s, as before) use it. The write deadline is removed when the next request begins.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -29,6 +29,8 @@
 	// uploading is true while the handler serves a request with an upload. Such a request is passed on before its body
 	// is complete, so it does not count as incomplete.
 	uploading atomic.Bool
+	// streaming is true from the start of a streamed response to the next request. Its client may read slowly.
+	streaming atomic.Bool
 
 	// readMu guards the fields below. A read and the update of scanner are one critical section, and so are a check of
 	// scanner and the decision to close the connection. Exceptions: the atomic fields of scanner may be read by any
@@ -55,8 +57,13 @@
 	return c.openedAt
 }
 
-// countRequest counts a request that reached the HTTP handler. Only the serving goroutine may call it.
-func (c *Conn) countRequest() { c.requestNumber++ }
+// countRequest counts a request that reached the HTTP handler. It removes the write deadline of the last response, which not
+// every response replaces. Only the serving goroutine may call it.
+func (c *Conn) countRequest() {
+	c.requestNumber++
+	c.streaming.Store(false)
+	c.SetWriteDeadline(time.Time{})
+}
 
 // requestDeadline returns the read deadline that http.Server has set for the current request. It counts from the accept
 // for the first request of a connection, and from the first byte for later requests. Only the serving goroutine may
@@ -69,15 +76,23 @@
 	return startedAt.Add(readTimeout)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. During a streamed response, it sets the write deadline itself.
 func (c *Conn) Write(data []byte) (int, error) {
-	n, err := socket.WriteConn(c.TCPConn, data, fault.Write)
+	n, err := c.write(data)
 	if err != nil {
 		c.record.setWriteError(err)
 	}
 	return n, err
 }
 
+// write writes the bytes of a response. The client of a streamed response has clientStallTimeout to read a byte.
+func (c *Conn) write(data []byte) (int, error) {
+	if c.streaming.Load() {
+		return socket.WriteWithStallLimit(c.TCPConn, data, fault.Write, socket.StallLimit{Timeout: clientStallTimeout})
+	}
+	return socket.WriteConn(c.TCPConn, data, fault.Write)
+}
+
 // closeWithReason closes the connection and records why the sidecar does so.
 func (c *Conn) closeWithReason(reason closeReason) {
 	c.record.setReason(reason, nil)
--- a/internal/downstream/stream.go
+++ b/internal/downstream/stream.go
@@ -16,6 +16,10 @@
 // streamBufferSize is the maximum number of bytes of a streamed response that are read and written at a time.
 const streamBufferSize = 32 << 10
 
+// clientStallTimeout is how long the client of a streamed response may go without accepting a byte. A client that reads
+// 64 KiB per second from a full receive buffer of 32 MiB tells its kernel to accept bytes again only every 32 s.
+const clientStallTimeout = 40 * time.Second
+
 // streamBufferPool holds buffers of streamBufferSize bytes for reuse.
 var streamBufferPool = sync.Pool{New: func() any {
 	buffer := make([]byte, streamBufferSize)
@@ -31,6 +35,7 @@
 	download := response.Download
 	stop := context.AfterFunc(r.Context(), download.Cancel) // ends the attempt at once if the client disconnects
 	defer stop()
+	conn.streaming.Store(true)
 	writeStreamHead(w, response)
 	err := copyDownload(w, download)
 	download.Finish(err)
@@ -44,7 +49,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// writeStreamHead writes the head of a streamed response. The client has exchange.StallTimeout to read it.
+// writeStreamHead writes the head of a streamed response.
 func writeStreamHead(w http.ResponseWriter, response *exchange.Response) {
 	header := w.Header()
 	maps.Copy(header, response.Header)
@@ -52,7 +57,6 @@
 	if length := response.Download.Length; length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(exchange.StallTimeout))
 	w.WriteHeader(response.Status)
 }
 
@@ -84,9 +88,8 @@
 	}
 }
 
-// writePart writes and flushes a part of a body. The client has exchange.StallTimeout to read it.
+// writePart writes and flushes a part of a body.
 func writePart(w io.Writer, controller *http.ResponseController, part []byte) error {
-	controller.SetWriteDeadline(time.Now().Add(exchange.StallTimeout))
 	if _, err := w.Write(part); err != nil {
 		return errors.Join(exchange.ErrDownloadStopped, err)
 	}
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// StallTimeout is how long a peer may go without sending or accepting a byte of a streamed body. Slow peers pause for
-	// seconds; a peer that hangs must not occupy its connection forever.
+	// StallTimeout is how long a peer may go without sending a byte of a streamed body, and an endpoint without accepting
+	// one. Slow peers pause for seconds; a peer that hangs must not occupy its connection forever.
 	StallTimeout = 5 * time.Second
 	// expiredTimeout is a read timeout that interrupts a read in progress.
 	expiredTimeout time.Duration = -1
--- a/internal/sidecartest/slowserver.go
+++ b/internal/sidecartest/slowserver.go
@@ -16,9 +16,6 @@
 	// slowServerBuffer is the size of the receive buffer of a SlowServer in bytes. It is small, so that most bytes of a
 	// long request wait in the send queue of the sender.
 	slowServerBuffer = 16 << 10
-	// slowServerSegment is the largest segment that it accepts, as on an Ethernet. With the large segments of the
-	// loopback interface, a small receive buffer would make the transfer much slower.
-	slowServerSegment = 1460
 	// slowServerPiece and slowServerPause define how fast a SlowServer reads: at most 0.5 MB per second.
 	slowServerPiece = 8 << 10
 	slowServerPause = 16 * time.Millisecond
@@ -39,7 +36,7 @@
 func NewSlowServer(t *testing.T, step Step) *SlowServer {
 	t.Helper()
 	const maxConns = 10
-	listener := listenWithSegmentSize(t, slowServerSegment)
+	listener := listenEthernet(t)
 	server := &SlowServer{Addr: listener.Addr().String(), Done: make(chan bool, maxConns), step: step}
 	go func() {
 		for {
@@ -54,13 +51,17 @@
 	return server
 }
 
-// listenWithSegmentSize opens a listener on a free port that accepts segments of the given size at most.
-func listenWithSegmentSize(t *testing.T, size int) net.Listener {
+// ethernetSegment is the largest segment on an Ethernet in bytes.
+const ethernetSegment = 1460
+
+// listenEthernet opens a listener on a free port whose connections use segments of ethernetSegment bytes at most. With the
+// large segments of the loopback interface, a receiver with a small buffer would accept bytes only rarely.
+func listenEthernet(t *testing.T) net.Listener {
 	t.Helper()
 	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
 		var err error
 		controlErr := conn.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, size)
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment)
 		})
 		return errors.Join(controlErr, err)
 	}}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,6 +37,12 @@
 	return socket.WriteConn(c.Conn, data, fault.Send)
 }
 
+// writeWithStallLimit writes data for which the endpoint may take long. See socket.WriteWithStallLimit.
+func (c *endpointConn) writeWithStallLimit(data []byte, limit socket.StallLimit) error {
+	_, err := socket.WriteWithStallLimit(c.Conn, data, fault.Send, limit)
+	return err
+}
+
 // unacknowledged returns how many of the written bytes the endpoint's machine has not acknowledged, or UnknownLength.
 func (c *endpointConn) unacknowledged() int {
 	raw, ok := c.Conn.(syscall.Conn)
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -96,19 +96,22 @@
 	return sentAt, err
 }
 
-// writeLocked writes to the endpoint. Each write may take StallTimeout, but not longer than until sendBy. The caller holds
-// mu.
+// writeLocked writes to the endpoint, which may go without accepting a byte for StallTimeout. It does not write after
+// sendBy. The caller holds mu.
 func (w *uploadWriter) writeLocked(p []byte) error {
-	deadline := time.Now().Add(exchange.StallTimeout)
-	if !w.sendBy.IsZero() {
-		deadline = earlier(deadline, w.sendBy)
-	}
-	w.conn.SetWriteDeadline(deadline)
-	if w.stopped.Load() { // checked after the deadline is set, because stop sets the flag before its past deadline
+	return w.conn.writeWithStallLimit(p, socket.StallLimit{
+		Timeout: exchange.StallTimeout,
+		Until:   w.sendBy,
+		Stopped: w.stopError,
+	})
+}
+
+// stopError returns ErrUploadStopped if the upload was stopped.
+func (w *uploadWriter) stopError() error {
+	if w.stopped.Load() {
 		return exchange.ErrUploadStopped
 	}
-	_, err := w.conn.Write(p)
-	return err
+	return nil
 }
 
 // stop stops the upload and reports whether the last byte was written. If it was not, it never will be.
