--- a/internal/soak/systemcallfaults.go
+++ b/internal/soak/systemcallfaults.go
@@ -22,7 +22,7 @@
 	},
 	{
 		Spec: "rate=0.02 short=0.05 connect=EADDRNOTAVAIL,ENETUNREACH,EHOSTUNREACH,ETIMEDOUT,ENOBUFS,EMFILE " +
-			"receive=EINTR,ENOMEM send=EINTR,ENOBUFS sendqueue=EINTR,ENOMEM",
+			"receive=EINTR,ENOMEM send=EINTR,ENOBUFS",
 	},
 	{
 		Spec: "rate=0.02 short=0.2 readfile=EMFILE,EIO,EINTR log=ENOSPC,EIO " +
