Leave the removal of write deadlines to net/http

Change: the redundant call is gone, so a request without a streamed response is handled as before. TestErrorResponseAfterStreamedResponse also covers a malformed request, to which net/http responds without a handler.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -57,12 +57,10 @@
 	return c.openedAt
 }
 
-// countRequest counts a request that reached the HTTP handler. It removes the write deadline of the last response, which not
-// every response replaces. Only the serving goroutine may call it.
+// countRequest counts a request that reached the HTTP handler. Only the serving goroutine may call it.
 func (c *Conn) countRequest() {
 	c.requestNumber++
 	c.streaming.Store(false)
-	c.SetWriteDeadline(time.Time{})
 }
 
 // requestDeadline returns the read deadline that http.Server has set for the current request. It counts from the accept
@@ -76,7 +74,8 @@
 	return startedAt.Add(readTimeout)
 }
 
-// Write implements net.Conn. During a streamed response, it sets the write deadline itself.
+// Write implements net.Conn. During a streamed response, it sets the write deadline itself; net/http removes that deadline
+// after each response.
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.write(data)
 	if err != nil {
--- a/internal/sidecar/slowpeer_test.go
+++ b/internal/sidecar/slowpeer_test.go
@@ -83,19 +83,29 @@
 }
 
 // TestErrorResponseAfterStreamedResponse checks that the write deadline of a streamed response does not remain: the response
-// to an invalid request sets none, and would not reach the client.
+// to an invalid request, which sets none, would not reach the client.
 func TestErrorResponseAfterStreamedResponse(t *testing.T) {
 	t.Parallel()
 	const untilNextRequest = 1500 * time.Millisecond
-	sidecar, _ := startWithEndpoint(t, sidecartest.Respond(200, sidecartest.LongBody))
-	client := sidecar.dial()
-	reader := bufio.NewReader(client)
-	sidecar.write(client, sidecar.rawRequestHead("read"))
-	response := sidecar.expectResponse(reader, "request for a long response", http.StatusOK)
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		t.Fatal(err)
+	for name, test := range map[string]struct {
+		request string
+		status  int
+	}{
+		"unknown path": {"GET /unknown HTTP/1.1\r\nHost: app.svc\r\n\r\n", http.StatusNotFound},
+		"malformed":    {"GET /api HTTP/1.1\r\nHost\r\n\r\n", http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sidecar, _ := startWithEndpoint(t, sidecartest.Respond(200, sidecartest.LongBody))
+			client := sidecar.dial()
+			reader := bufio.NewReader(client)
+			sidecar.write(client, sidecar.rawRequestHead("read"))
+			response := sidecar.expectResponse(reader, "request for a long response", http.StatusOK)
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(untilNextRequest)
+			sidecar.write(client, test.request)
+			sidecar.expectResponse(reader, name, test.status)
+		})
 	}
-	time.Sleep(untilNextRequest)
-	sidecar.write(client, "GET /unknown HTTP/1.1\r\nHost: app.svc\r\n\r\n")
-	sidecar.expectResponse(reader, "request for an unknown path", http.StatusNotFound)
 }
