Log invalid requests, and how far a failed attempt came

Now there are request_written and response_started, a line "request invalid" at most once a second with the number of lines left out, and the counter edge_node_invalid_requests_total. A trace ID in the log has at most 256 characters.

--- a/internal/downstream/abort_test.go
+++ b/internal/downstream/abort_test.go
@@ -38,7 +38,8 @@
 	state.Settings.Store(settings)
 	tracker := NewConnTracker(10)
 	errorLog := &flagWriter{}
-	server := NewServer(state, abortingHandler{}, tracker, 0, nil).HTTPServer(slog.New(slog.NewTextHandler(errorLog, nil)))
+	handler := NewServer(state, abortingHandler{}, tracker, 0, &metrics.Metrics{}, nil)
+	server := handler.HTTPServer(slog.New(slog.NewTextHandler(errorLog, nil)))
 	inner := sidecartest.Listen(t)
 	go server.Serve(NewListener(inner, tracker, nopEvictor{}))
 	t.Cleanup(func() { server.Close() })
--- a/internal/downstream/api.go
+++ b/internal/downstream/api.go
@@ -15,7 +15,7 @@
 		err = markAwaitingIfComplete(ex, conn)
 	}
 	if err != nil {
-		respondError(w, err)
+		s.respondInvalid(w, r, conn, err)
 		return
 	}
 	if upload := ex.Message.Upload; upload != nil {
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cindersaddle/internal/fault"
+	"cindersaddle/internal/logging"
 	"cindersaddle/internal/socket"
 )
 
@@ -68,15 +69,18 @@
 	acceptDoneOnce sync.Once       // closes acceptDone
 
 	// Only the goroutine that calls Accept uses the fields below.
-	queueDrained bool       // drainQueue was called: Accept returns pendingConns and then net.ErrClosed
-	pendingConns []net.Conn // drained connections that Accept has not yet returned
-	lastErrorLog time.Time  // when a failed accept was last logged
+	queueDrained bool             // drainQueue was called: Accept returns pendingConns and then net.ErrClosed
+	pendingConns []net.Conn       // drained connections that Accept has not yet returned
+	errorLogs    *logging.Limiter // of failed accepts
 }
 
 // NewListener returns a listener that accepts connections from ln and adds them to tracker. If no file descriptor is
 // available, it evicts an upstream connection or, if there is none, a client connection.
 func NewListener(ln net.Listener, tracker *ConnTracker, upstream Evictor) *Listener {
-	return &Listener{Listener: ln, tracker: tracker, upstream: upstream, acceptDone: make(chan struct{})}
+	return &Listener{
+		Listener: ln, tracker: tracker, upstream: upstream, acceptDone: make(chan struct{}),
+		errorLogs: logging.NewLimiter(acceptLogInterval),
+	}
 }
 
 // Accept returns the next connection that the tracker admits, as a *Conn. After a call to Drain it returns the
@@ -101,9 +105,8 @@
 // handleAcceptError logs a failed accept, at most once per acceptLogInterval. It then frees a file descriptor if there
 // was none, or waits before the next accept.
 func (l *Listener) handleAcceptError(err error) {
-	if time.Since(l.lastErrorLog) >= acceptLogInterval {
-		l.lastErrorLog = time.Now()
-		l.tracker.Log.Info("connection not accepted", "error", err)
+	if suppressed, allowed := l.errorLogs.Allow(); allowed {
+		l.tracker.Log.Info("connection not accepted", "error", err, "suppressed", suppressed)
 	}
 	if socket.Exhausted(err) {
 		l.freeDescriptor()
--- a/internal/downstream/respond.go
+++ b/internal/downstream/respond.go
@@ -14,18 +14,29 @@
 // written.
 func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
-// respondError responds to an invalid request with the text of err. It closes the connection, because the bytes that
-// follow an invalid request cannot be interpreted.
-func respondError(w http.ResponseWriter, err error) {
+// respondInvalid responds to an invalid request with the text of err, and counts and logs it. It closes the connection,
+// because the bytes that follow an invalid request cannot be interpreted.
+func (s *Server) respondInvalid(w http.ResponseWriter, r *http.Request, conn *Conn, err error) {
 	status := http.StatusBadRequest
 	var requestErr *exchange.RequestError
 	if errors.As(err, &requestErr) {
 		status = requestErr.Status
 	}
+	s.metrics.InvalidRequests.Add(1)
+	if suppressed, allowed := s.invalidLogs.Allow(); allowed {
+		s.tracker.Log.Info("request invalid", "status", status, "error", err, "request", loggedTraceID(r),
+			"client", conn.RemoteAddr().String(), "suppressed", suppressed)
+	}
 	closeAfterResponse(w)
 	http.Error(w, err.Error(), status)
 }
 
+// loggedTraceID returns the trace ID of a request for the log, without the end of one that is too long.
+func loggedTraceID(r *http.Request) string {
+	traceID := r.Header.Get(traceIDHeader)
+	return traceID[:min(len(traceID), maxTokenLength)]
+}
+
 // respond writes the response to a request. upload is nil if the request body was buffered completely.
 func (s *Server) respond(
 	w http.ResponseWriter, r *http.Request, conn *Conn, upload *exchange.Upload, response *exchange.Response,
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/logging"
+	"cindersaddle/internal/metrics"
 )
 
 // A client that stalls must get an error response or a closed connection within 3 s of connecting. Clients may stay
@@ -53,14 +55,23 @@
 	done         <-chan struct{} // closed when handler sends no more responses
 	tracker      *ConnTracker
 	replayBudget exchange.ReplayBudget // shared by the uploads of all requests
+	metrics      *metrics.Metrics
+	invalidLogs  *logging.Limiter // of invalid requests
 }
 
+// invalidLogInterval is the minimum time between two log lines about invalid requests.
+const invalidLogInterval = time.Second
+
 // NewServer returns a server that buffers at most replayBytes of all uploads together for retries. Once done is closed,
 // it aborts the requests that await a response.
 func NewServer(
-	state *exchange.ServiceState, handler RequestHandler, tracker *ConnTracker, replayBytes int64, done <-chan struct{},
+	state *exchange.ServiceState, handler RequestHandler, tracker *ConnTracker, replayBytes int64,
+	registry *metrics.Metrics, done <-chan struct{},
 ) *Server {
-	server := &Server{state: state, handler: handler, tracker: tracker, done: done}
+	server := &Server{
+		state: state, handler: handler, tracker: tracker, done: done, metrics: registry,
+		invalidLogs: logging.NewLimiter(invalidLogInterval),
+	}
 	server.replayBudget.Remaining.Store(replayBytes)
 	return server
 }
@@ -90,7 +101,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := r.Context().Value(connKey{}).(*Conn)
 	conn.countRequest()
-	conn.record.beginRequest(r.Header.Get(traceIDHeader))
+	conn.record.beginRequest(loggedTraceID(r))
 	if s.state.ShuttingDown.Load() {
 		closeAfterResponse(w)
 	}
@@ -100,7 +111,7 @@
 	case path == readyPath && r.Method == http.MethodGet:
 		s.handleReady(w)
 	default:
-		respondError(w, &exchange.RequestError{Status: http.StatusNotFound, Text: "no such path"})
+		s.respondInvalid(w, r, conn, &exchange.RequestError{Status: http.StatusNotFound, Text: "no such path"})
 	}
 	conn.record.setPhase(phaseResponded) // not reached if the handler aborts: it panics
 }
--- a/internal/eventloop/log.go
+++ b/internal/eventloop/log.go
@@ -19,7 +19,9 @@
 	l.log.Info("attempt failed",
 		"request", req.exchange.TraceID, "attempt", ev.attempt.Number, "endpoint", endpoint,
 		"outcome", ev.outcome.Result, "duration_ms", duration, "streamed", ev.attempt.StreamLatency > 0,
-		"client_disconnected", ev.outcome.ClientDisconnected, "request_done", !req.awaitsResponse(), "error", ev.outcome.Err)
+		"client_disconnected", ev.outcome.ClientDisconnected, "request_done", !req.awaitsResponse(),
+		"request_written", ev.attempt.RequestWritten(), "response_started", ev.attempt.ResponseStarted(),
+		"error", ev.outcome.Err)
 }
 
 // logRetriedUpload logs that a retry has sent the last byte of a long body to the kernel, and how many bytes the endpoint's
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -26,6 +26,7 @@
 	Reloads              atomic.Int64 // configuration files applied
 	ReloadErrors         atomic.Int64 // configuration files rejected
 	Endpoints            atomic.Int64 // endpoints in the list
+	InvalidRequests      atomic.Int64 // requests that were answered with a 4xx status because they are invalid
 	UnavailableEndpoints atomic.Int64 // endpoints draining, ejected, in a zone outage, or failing the last health check
 
 	mu      sync.Mutex // guards the slice classes; the counters themselves are atomic
--- a/internal/metrics/text.go
+++ b/internal/metrics/text.go
@@ -62,6 +62,7 @@
 		{"pending", typeGauge, "Requests taken and not ended.", &m.PendingRequests},
 		{"members", typeGauge, "Servers in the list.", &m.Endpoints},
 		{"members_unavailable", typeGauge, "Listed servers that are avoided now.", &m.UnavailableEndpoints},
+		{"invalid_requests_total", typeCounter, "Requests answered with a 4xx status.", &m.InvalidRequests},
 		{"config_reloads_total", typeCounter, "Configuration files taken at SIGHUP.", &m.Reloads},
 		{"config_reload_errors_total", typeCounter, "Configuration files turned down at SIGHUP.", &m.ReloadErrors},
 	} {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -68,7 +68,7 @@
 	s.clientConns.AfterRead = resources.readHooks.after
 	s.applyLimits(1)
 	replayBytes := exchange.ReplayBudgetBytes(cfg.Limits.MemoryMB)
-	s.clientServer = downstream.NewServer(s.state, s.loop, s.clientConns, replayBytes, ctx.Done())
+	s.clientServer = downstream.NewServer(s.state, s.loop, s.clientConns, replayBytes, s.metrics, ctx.Done())
 	return s
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -29,8 +29,9 @@
 	// RequestDone is set by the event loop when the request has its final response: the attempt must send nothing more.
 	RequestDone atomic.Bool
 
-	requestWritten atomic.Bool // the kernel has accepted the last byte of the request
-	withdrawn      atomic.Bool // the endpoint had not received the complete request at SendBy
+	requestWritten  atomic.Bool // the kernel has accepted the last byte of the request
+	responseStarted atomic.Bool // the head of a successful response has arrived
+	withdrawn       atomic.Bool // the endpoint had not received the complete request at SendBy
 
 	// The event loop owns the fields below. The goroutine of the attempt does not use them.
 
@@ -64,7 +65,17 @@
 }
 
 // notifyResponseStarted notifies the observer that the head of a successful response has arrived.
-func (a *Attempt) notifyResponseStarted() { a.Observer.ResponseStarted(a, time.Now()) }
+func (a *Attempt) notifyResponseStarted() {
+	a.responseStarted.Store(true)
+	a.Observer.ResponseStarted(a, time.Now())
+}
+
+// RequestWritten reports whether the kernel has accepted the last byte of the request. Any goroutine may call it.
+func (a *Attempt) RequestWritten() bool { return a.requestWritten.Load() }
+
+// ResponseStarted reports whether the head of a successful response has arrived before its body was complete. Any goroutine
+// may call it.
+func (a *Attempt) ResponseStarted() bool { return a.responseStarted.Load() }
 
 // obsolete reports whether nothing more may be sent for the attempt: its result is no longer needed, or it was withdrawn.
 func (a *Attempt) obsolete() bool { return a.RequestDone.Load() || a.interrupted() }
