--- a/internal/endtoend/harness_test.go
+++ b/internal/endtoend/harness_test.go
@@ -59,6 +59,13 @@
 	orders map[string]int // attempts of each trace ID whose head was received
 }
 
+// attempts returns the number of attempts of an order at an endpoint.
+func (e *endpoint) attempts(traceID string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders[traceID]
+}
+
 // startEndpoint starts an endpoint. receiveBuffer is the size of its receive buffers in bytes; 0 leaves it to the kernel.
 func startEndpoint(t *testing.T, receiveBuffer int, handle orderHandler) *endpoint {
 	t.Helper()
@@ -172,6 +179,27 @@
 	return s
 }
 
+// attempts returns the number of attempts of an order at all endpoints.
+func (s *setup) attempts(traceID string) int {
+	count := 0
+	for _, e := range s.endpoints {
+		count += e.attempts(traceID)
+	}
+	return count
+}
+
+// dial opens a connection to the sidecar. It is closed at the end of the test.
+func (s *setup) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(sidecartest.Timeout))
+	return conn
+}
+
 // freeAddress returns an address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
