Wait for the first byte of a response body of unknown length until the deadline

Cause: the deadline of 20 ms after which such a response is streamed also ended the attempt if no byte had arrived by then. The log line shows it: outcome "timed out", response_started=true, 21 to 33 ms after the start. It was not a decision of the balancer, which learns of the head by ResponseStarted and does not treat the attempt as overdue from then on.

Now the usual deadline is restored and the response is streamed from its first byte on. The head is not forwarded before, so that a body that never begins ends in a final response in time. The same holds for the response to a long body, which had not been streamed in pieces at all.

--- a/internal/http1/observer.go
+++ b/internal/http1/observer.go
@@ -11,7 +11,8 @@
 	// was the deadline of ShortenDeadline. A cancellation and the usual deadline end a read with the same error, but
 	// then the rest of the response is no longer needed.
 	ShortenedDeadlineExpired() bool
-	// RestoreDeadline is called after the read that follows ShortenDeadline. It sets the usual deadline again.
+	// RestoreDeadline is called after the read that follows ShortenDeadline, and may be called again later. It sets the
+	// usual deadline again.
 	RestoreDeadline()
 }
 
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -15,6 +15,8 @@
 	// maxChunkedSizeRatio is the largest ratio of the size of a chunked body to the size of its data. It allows for
 	// chunks of a single byte.
 	maxChunkedSizeRatio = 8
+	// firstPartSize is the maximum size in bytes of the first part of a streamed body that begins late.
+	firstPartSize = 4 << 10
 	// firstFinalStatus is the lowest status code of a final response; lower codes are those of interim responses.
 	firstFinalStatus = 200
 )
@@ -42,9 +44,10 @@
 // streamed:
 //   - A body with a Content-Length is streamed if the length exceeds MaxBufferedBody. Response.Body is empty then.
 //   - A body of unknown length is streamed if more than MaxBufferedBody bytes arrive.
-//   - In a response with status 200, a body of unknown length is also streamed if only a part of it arrives before the
+//   - In a response with status 200, a body of unknown length is also streamed if it is not complete before the
 //     deadline that observer.ShortenDeadline sets, because its length cannot be predicted. An expired deadline
-//     counts only if observer.ShortenedDeadlineExpired returns true.
+//     counts only if observer.ShortenedDeadlineExpired returns true. If no byte of the body has arrived by then, Next
+//     waits for the first one until the usual deadline.
 //
 // Next returns an error if the head is malformed, if the head of a response with status 200 does not define where the
 // body ends, or if the body ends early. It returns a *SizeError if the head is too large or the Content-Length exceeds
@@ -90,9 +93,17 @@
 	}
 	body, err = io.ReadAll(io.LimitReader(resp.Body, MaxBufferedBody+1))
 	streamed = len(body) > MaxBufferedBody
-	if mayStream && len(body) > 0 && errors.Is(err, os.ErrDeadlineExceeded) && observer.ShortenedDeadlineExpired() {
-		streamed = true
-		err = nil
+	if mayStream && errors.Is(err, os.ErrDeadlineExceeded) && observer.ShortenedDeadlineExpired() {
+		observer.RestoreDeadline()
+		if len(body) == 0 {
+			body, err = readFirstPart(resp.Body)
+		} else {
+			err = nil
+		}
+		streamed = err == nil
+		if err == io.EOF {
+			err = nil
+		}
 	}
 	if streamed {
 		r.limitedSource.setLimit(PartBody, noLimit) // the client reads the rest, of any length
@@ -100,6 +111,20 @@
 	return body, streamed, err
 }
 
+// readFirstPart waits for the first bytes of a body and returns them. It returns io.EOF for an empty body.
+func readFirstPart(body io.Reader) ([]byte, error) {
+	buffer := make([]byte, firstPartSize)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			return buffer[:n], nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // readHead skips interim responses and reads the head of the final response.
 func (r ResponseReader) readHead(method string) (*http.Response, error) {
 	r.limitedSource.setLimit(PartHead, maxResponseHead)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -29,9 +29,10 @@
 	// RequestDone is set by the event loop when the request has its final response: the attempt must send nothing more.
 	RequestDone atomic.Bool
 
-	requestWritten  atomic.Bool // the kernel has accepted the last byte of the request
-	responseStarted atomic.Bool // the head of a successful response has arrived
-	withdrawn       atomic.Bool // the endpoint had not received the complete request at SendBy
+	requestWritten  atomic.Bool               // the kernel has accepted the last byte of the request
+	uploadSentAt    atomic.Pointer[time.Time] // when the last byte of a streamed request body was written; nil before
+	responseStarted atomic.Bool               // the head of a successful response has arrived
+	withdrawn       atomic.Bool               // the endpoint had not received the complete request at SendBy
 
 	// The event loop owns the fields below. The goroutine of the attempt does not use them.
 
@@ -83,8 +84,13 @@
 // interrupted reports whether the attempt was cancelled or withdrawn.
 func (a *Attempt) interrupted() bool { return a.withdrawn.Load() || a.Context.Err() != nil }
 
-// expired reports whether the deadline of the attempt has passed.
-func (a *Attempt) expired() bool { return !time.Now().Before(a.Deadline) }
+// responseDeadline returns when the response must have arrived, or its first byte if it is streamed.
+func (a *Attempt) responseDeadline() time.Time {
+	if sentAt := a.uploadSentAt.Load(); sentAt != nil {
+		return earlier(a.Deadline, sentAt.Add(a.PostUploadTimeout))
+	}
+	return a.Deadline
+}
 
 // mustNotSend reports whether the attempt must end without sending its first byte.
 func (a *Attempt) mustNotSend() bool {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -68,7 +68,7 @@
 	request := attempt.Message.NewRequest(attempt.PostUploadTimeout, writer.source, writer.source.Length)
 	go writer.run(request, func(sentAt time.Time) { c.uploadSent(attempt, conn, sentAt) })
 
-	response, err := conn.reader.Next(attempt.Message.Method, uploadObserver{attempt: attempt})
+	response, err := conn.reader.Next(attempt.Message.Method, deadlineObserver{attempt, conn})
 	var result roundTripOutcome
 	if err == nil {
 		result = c.handleResponse(attempt, conn, response)
@@ -94,8 +94,9 @@
 func (c *Client) uploadSent(attempt *Attempt, conn *endpointConn, sentAt time.Time) {
 	attempt.requestWritten.Store(true)
 	c.metrics.Attempts.Add(1)
-	responseDeadline := time.Now().Add(attempt.PostUploadTimeout)
-	attempt.setReadDeadline(conn, earlier(attempt.Deadline, responseDeadline))
+	now := time.Now()
+	attempt.uploadSentAt.Store(&now)
+	attempt.setReadDeadline(conn, attempt.responseDeadline())
 	attempt.Observer.UploadSent(attempt, SentUpload{At: sentAt, Unacknowledged: conn.unacknowledged()})
 }
 
