Reserve all memory that the process holds for its peers from one budget

Cause: there were limits on what one request may hold, but nothing added it up. 340 heads of 31 KiB of short fields took 147 to 209 MiB, 340 bodies of 60 KiB 44 to 47 MiB, with 32 MB.

internal/memory has one budget, derived from memory_mb and shared by the processes of an upgrade. Connections, long heads, bodies, attempts, streamed bodies and responses are reserved from it before the bytes are parsed or allocated: - A head has at most 1,024 fields (431); a long one waits unread for memory until its time limit, and then gets 503. - A body that does not fit waits unread, for at most 0.4 of the client's time, and then gets 503: no endpoint has seen it. A longer one is streamed without being buffered for a retry. - A response that does not fit is streamed instead of buffered. A head of a response has a limit on its lines, too. - A quarter is only for connections and requests without a long body, so that those are served while others wait. - Idle endpoint connections are closed first. The request is no longer copied with its body for each attempt, and a long body is copied with 8 KiB instead of 32 KiB.

Gauges and counters by kind, and a log line at most once a second that says what was refused and what holds the memory.

--- a/internal/downstream/api.go
+++ b/internal/downstream/api.go
@@ -12,6 +12,7 @@
 func (s *Server) handleAPI(w http.ResponseWriter, r *http.Request, conn *Conn) {
 	ex, err := s.parseRequest(w, r, conn)
 	if err == nil {
+		defer ex.Memory.Release()
 		err = markAwaitingIfComplete(ex, conn)
 	}
 	if err != nil {
@@ -23,10 +24,11 @@
 		defer upload.Release()
 	}
 	conn.record.setPhase(phaseAwaiting)
+	ex.Memory.Retain() // for the handler, which may need the request after its client has gone
 	s.handler.RequestArrived(ex)
 	response := s.awaitResponse(r, conn, ex)
 	conn.record.setPhase(phaseResponding)
-	s.respond(w, r, conn, ex.Message.Upload, response)
+	s.respond(w, r, conn, ex.Message, response)
 }
 
 // awaitResponse waits for the response to a request and returns it. If there is none, it panics with
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -7,6 +7,7 @@
 
 	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/http1"
+	"cindersaddle/internal/memory"
 )
 
 // The read deadline of a body is bodyGracePeriod plus the time that the bytes read so far take at minBodyRate, or the
@@ -20,7 +21,9 @@
 // readBody reads the body of a request. A body of up to http1.MaxBufferedBody bytes is read and returned completely. Of
 // a longer body only the first part is read; the returned upload reads the rest. Errors are of type
 // *exchange.RequestError.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, conn *Conn) ([]byte, *exchange.Upload, error) {
+func (s *Server) readBody(
+	w http.ResponseWriter, r *http.Request, conn *Conn, held *heldRequest,
+) ([]byte, *exchange.Upload, error) {
 	if r.ContentLength > http1.MaxBody {
 		return nil, nil, exchange.ErrBodyTooLarge
 	}
@@ -32,20 +35,24 @@
 		serverDeadline: conn.requestDeadline(),
 		setDeadline:    controller.SetReadDeadline,
 	}
-	body, err := io.ReadAll(io.LimitReader(paced, http1.MaxBufferedBody+1))
+	body, complete, err := held.readBody(paced, r.ContentLength)
 	if err != nil {
-		return nil, nil, exchange.BodyError(err)
+		return nil, nil, err
 	}
-	if len(body) <= http1.MaxBufferedBody {
+	if complete {
 		return body, nil, nil
 	}
-	return nil, s.newUpload(r, conn, controller, limited, body), nil
+	if !held.reserve(memory.Uploads, uploadBytes) {
+		return nil, nil, errNoMemory
+	}
+	return nil, s.newUpload(r, conn, controller, limited, body, held.memory), nil
 }
 
 // newUpload returns the upload of a body that is too long to be buffered. firstBytes were already read; source provides
 // the rest.
 func (s *Server) newUpload(
 	r *http.Request, conn *Conn, controller *http.ResponseController, source io.Reader, firstBytes []byte,
+	held *memory.Reservation,
 ) *exchange.Upload {
 	requestNumber := conn.requestNumber
 	controller.EnableFullDuplex() // the response may start before the body has been read completely
@@ -54,6 +61,7 @@
 		Length:               r.ContentLength,
 		Source:               source,
 		Budget:               &s.replayBudget,
+		Memory:               held,
 		MarkAwaitingResponse: func() error { return conn.MarkAwaitingResponse(requestNumber) },
 		SetReadTimeout: func(timeout time.Duration) {
 			controller.SetReadDeadline(time.Now().Add(timeout))
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -9,6 +9,7 @@
 
 	"cindersaddle/internal/fault"
 	"cindersaddle/internal/http1"
+	"cindersaddle/internal/memory"
 	"cindersaddle/internal/socket"
 )
 
@@ -20,6 +21,7 @@
 type Conn struct {
 	*net.TCPConn
 	tracker  *ConnTracker
+	memory   *memory.Reservation // of the connection and the heads on it
 	openedAt time.Time
 	record   connRecord
 
@@ -31,6 +33,9 @@
 	uploading atomic.Bool
 	// streaming is true from the start of a streamed response to the next request. Its client may read slowly.
 	streaming atomic.Bool
+	// lingeringSince is when the sidecar has sent its last byte: nil before that. The connection is then kept for a while, so
+	// that a client that is still sending gets the response.
+	lingeringSince atomic.Pointer[time.Time]
 
 	// readMu guards the fields below. A read and the update of scanner are one critical section, and so are a check of
 	// scanner and the decision to close the connection. Exceptions: the atomic fields of scanner may be read by any
@@ -92,6 +97,19 @@
 	return socket.WriteConn(c.TCPConn, data, fault.Write)
 }
 
+// CloseWrite ends the sending side of the connection after its last response.
+func (c *Conn) CloseWrite() error {
+	now := time.Now()
+	c.lingeringSince.Store(&now)
+	return c.TCPConn.CloseWrite()
+}
+
+// lingeredLong reports whether the client has had lingerGracePeriod to read the last response.
+func (c *Conn) lingeredLong(now time.Time) bool {
+	since := c.lingeringSince.Load()
+	return since != nil && now.Sub(*since) >= lingerGracePeriod
+}
+
 // closeWithReason closes the connection and records why the sidecar does so.
 func (c *Conn) closeWithReason(reason closeReason) {
 	c.record.setReason(reason, nil)
@@ -101,6 +119,7 @@
 // Close closes the connection and removes it from its tracker. It may be called repeatedly.
 func (c *Conn) Close() error {
 	if c.tracker.remove(c) {
+		c.memory.Release()
 		c.record.logIfIncomplete(c.tracker.Log, c.RemoteAddr().String())
 	}
 	return c.TCPConn.Close()
--- a/internal/downstream/conn_read.go
+++ b/internal/downstream/conn_read.go
@@ -41,6 +41,9 @@
 	if n > 0 && c.tracker.AfterRead != nil {
 		c.tracker.AfterRead()
 	}
+	if refusal := c.checkHead(err); refusal != nil {
+		n, err = 0, c.refuseHead(refusal)
+	}
 	if err != nil {
 		err = c.wrapReadError(err)
 		c.record.setReadError(err)
--- a/internal/downstream/evict.go
+++ b/internal/downstream/evict.go
@@ -11,6 +11,8 @@
 	// arrived. It is closed earlier if takeVictim finds no better victim (at the limit of connections, after SetLimit
 	// has lowered that limit, or if file descriptors run out), and at the time limit of a shutdown.
 	SilenceGracePeriod = 2 * time.Second
+	// lingerGracePeriod is how long a connection stays open at least after its last response, if the client still sends.
+	lingerGracePeriod = 50 * time.Millisecond
 	// maxVictimChecks is how many connections of each group of candidates takeVictim examines. Each check takes a
 	// system call.
 	maxVictimChecks = 32
@@ -45,21 +47,29 @@
 // returns it; the caller must close it. It returns nil if no connection can be closed. The order of preference is:
 //
 //  1. a new connection, or one with an incomplete request, that has been silent for SilenceGracePeriod;
-//  2. an idle connection, because its client can connect again;
-//  3. the new connection, or the one with an incomplete request, that has been silent for longest: a client that writes
+//  2. a connection whose last response was sent lingerGracePeriod ago;
+//  3. an idle connection, because its client can connect again;
+//  4. the new connection, or the one with an incomplete request, that has been silent for longest: a client that writes
 //     slowly continues to write, while a client that never completes its request falls silent at some point.
 //
 // The caller holds mu.
 func (t *ConnTracker) takeVictim(now time.Time) *Conn {
 	longSilent, recentlyActive := splitBySilentTime(t.queues.newOrIncomplete(), now)
 	idle := connsOf(&t.queues.idleConns)
-	for _, candidates := range [][]*Conn{longSilent, idle, recentlyActive} {
-		if victim := markFirstClosable(candidates); victim != nil {
-			t.queues.remove(victim)
-			return victim
-		}
+	victim := markFirstClosable(longSilent)
+	if victim == nil {
+		victim = t.queues.longestLingering(now)
 	}
-	return nil
+	if victim == nil {
+		victim = markFirstClosable(idle)
+	}
+	if victim == nil {
+		victim = markFirstClosable(recentlyActive)
+	}
+	if victim != nil {
+		t.queues.remove(victim)
+	}
+	return victim
 }
 
 // splitBySilentTime splits connections into those that have been silent for at least SilenceGracePeriod and the others.
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/http1"
@@ -17,22 +16,38 @@
 	if err != nil {
 		return nil, err
 	}
-	body, upload, err := s.parseBody(w, r, conn)
+	held := conn.newHeldRequest(balancerRequest.Remaining.Duration(), r.ContentLength)
+	if held == nil {
+		return nil, s.countNoMemory(settings, balancerRequest.Class)
+	}
+	body, upload, err := s.parseBody(w, r, conn, held)
 	if err != nil {
+		held.memory.Release()
+		if err == errNoMemory {
+			return nil, s.countNoMemory(settings, balancerRequest.Class)
+		}
 		return nil, err
 	}
-	receivedAt := time.Now()
 	balancerRequest.Uploading = upload != nil
+	message := newMessage(r, body, upload, conn)
+	message.Memory = held.memory
 	return &exchange.Exchange{
 		TraceID:    traceID,
 		Request:    balancerRequest,
-		Message:    newMessage(r, body, upload, conn),
-		ReceivedAt: receivedAt,
+		Message:    message,
+		ReceivedAt: held.receivedAt(),
 		Responses:  make(chan *exchange.Response, 1),
 		Settings:   settings,
+		Memory:     held.memory,
 	}, nil
 }
 
+// countNoMemory counts a request of a class that is rejected for lack of memory, and returns its error.
+func (s *Server) countNoMemory(settings *exchange.Settings, class int) error {
+	settings.Counters[class].CountStatus(errNoMemory.Status)
+	return errNoMemory
+}
+
 // newMessage returns the message that is sent to an endpoint. It removes the hop-by-hop headers from r. upload is nil
 // if body is complete.
 func newMessage(r *http.Request, body []byte, upload *exchange.Upload, conn *Conn) *exchange.Message {
@@ -50,11 +65,13 @@
 
 // parseBody reads the body of a request. It rejects a GET request with a body, without reading the body if the request
 // declares its length.
-func (s *Server) parseBody(w http.ResponseWriter, r *http.Request, conn *Conn) ([]byte, *exchange.Upload, error) {
+func (s *Server) parseBody(
+	w http.ResponseWriter, r *http.Request, conn *Conn, held *heldRequest,
+) ([]byte, *exchange.Upload, error) {
 	if r.Method == http.MethodGet && r.ContentLength > 0 {
 		return nil, nil, errUnexpectedBody
 	}
-	body, upload, err := s.readBody(w, r, conn)
+	body, upload, err := s.readBody(w, r, conn, held)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/downstream/queues.go
+++ b/internal/downstream/queues.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"slices"
+	"time"
 )
 
 // connQueues holds the open connections in one queue per http.ConnState. net/http changes the state of a connection
@@ -60,6 +61,20 @@
 	return conns
 }
 
+// longestLingering returns the connection that has lingered longest, if that is at least lingerGracePeriod, or nil.
+func (q *connQueues) longestLingering(now time.Time) *Conn {
+	var longest *Conn
+	for _, queue := range []*list.List{&q.newConns, &q.activeConns} {
+		for element := queue.Front(); element != nil; element = element.Next() {
+			conn := element.Value.(*Conn)
+			if conn.lingeredLong(now) && (longest == nil || conn.lingeringSince.Load().Before(*longest.lingeringSince.Load())) {
+				longest = conn
+			}
+		}
+	}
+	return longest
+}
+
 // connsOf returns the connections of a queue, from front to back.
 func connsOf(queue *list.List) []*Conn {
 	conns := make([]*Conn, 0, queue.Len())
--- a/internal/downstream/record.go
+++ b/internal/downstream/record.go
@@ -34,6 +34,7 @@
 	reasonContextEnded closeReason = "the request's context ended"
 	reasonProcessEnds  closeReason = "the process ends"
 	reasonStreamBroken closeReason = "the streamed response broke off"
+	reasonHeadRefused  closeReason = "the head was refused"
 )
 
 // connRecord records how a connection and its current request ended, for the log. It is safe for concurrent use.
--- a/internal/downstream/respond.go
+++ b/internal/downstream/respond.go
@@ -22,13 +22,30 @@
 	if errors.As(err, &requestErr) {
 		status = requestErr.Status
 	}
+	if err == errNoMemory {
+		s.logNoMemory(r, conn)
+	} else {
+		s.countInvalid(r, conn, status, err)
+	}
+	closeAfterResponse(w)
+	http.Error(w, err.Error(), status)
+}
+
+// countInvalid counts and logs an invalid request.
+func (s *Server) countInvalid(r *http.Request, conn *Conn, status int, err error) {
 	s.metrics.InvalidRequests.Add(1)
 	if suppressed, allowed := s.invalidLogs.Allow(); allowed {
 		s.tracker.Log.Info("request invalid", "status", status, "error", err, "request", loggedTraceID(r),
 			"client", conn.RemoteAddr().String(), "suppressed", suppressed)
 	}
-	closeAfterResponse(w)
-	http.Error(w, err.Error(), status)
+}
+
+// logNoMemory logs a request that is rejected for lack of memory, with what holds the memory.
+func (s *Server) logNoMemory(r *http.Request, conn *Conn) {
+	if suppressed, allowed := s.tracker.refusalLogs.Allow(); allowed {
+		s.tracker.Log.Info("request rejected for lack of memory", "request", loggedTraceID(r),
+			"client", conn.RemoteAddr().String(), "length", r.ContentLength, "usage", s.tracker.Memory.Usage(), "suppressed", suppressed)
+	}
 }
 
 // loggedTraceID returns the trace ID of a request for the log, without the end of one that is too long.
@@ -37,17 +54,17 @@
 	return traceID[:min(len(traceID), maxTokenLength)]
 }
 
-// respond writes the response to a request. upload is nil if the request body was buffered completely.
+// respond writes the response to a request.
 func (s *Server) respond(
-	w http.ResponseWriter, r *http.Request, conn *Conn, upload *exchange.Upload, response *exchange.Response,
+	w http.ResponseWriter, r *http.Request, conn *Conn, message *exchange.Message, response *exchange.Response,
 ) {
 	// mustClose checks for a shutdown again, because one may have begun while the request awaited its response.
 	trailingData := conn.startResponse()
-	if trailingData || s.mustClose(conn, upload, response) {
+	if trailingData || s.mustClose(conn, message.Upload, response) {
 		closeAfterResponse(w)
 	}
 	if response.Download != nil {
-		streamResponse(w, r, conn, response)
+		streamResponse(w, r, conn, message.Memory, response)
 		return
 	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -42,7 +42,8 @@
 // RequestHandler handles the requests of clients. Its methods are called by the goroutine that serves the connection of
 // the request.
 type RequestHandler interface {
-	// RequestArrived is called for each valid request. The handler sends the response to ex.Responses, at most once.
+	// RequestArrived is called for each valid request. The handler sends the response to ex.Responses, at most once. It
+	// releases ex.Memory when it does not need the request any more.
 	RequestArrived(ex *exchange.Exchange)
 	// ClientDisconnected is called after RequestArrived if the client closes its connection before it gets a response.
 	ClientDisconnected(ex *exchange.Exchange)
--- a/internal/downstream/stream.go
+++ b/internal/downstream/stream.go
@@ -11,10 +11,15 @@
 	"time"
 
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/memory"
 )
 
-// streamBufferSize is the maximum number of bytes of a streamed response that are read and written at a time.
-const streamBufferSize = 32 << 10
+const (
+	// streamBufferSize is the maximum number of bytes of a streamed response that are read and written at a time.
+	streamBufferSize = 16 << 10
+	// smallStreamBufferSize is the same if memory is short.
+	smallStreamBufferSize = 4 << 10
+)
 
 // clientStallTimeout is how long the client of a streamed response may go without accepting a byte. A client that reads
 // 64 KiB per second from a full receive buffer of 32 MiB tells its kernel to accept bytes again only every 32 s.
@@ -31,13 +36,15 @@
 // If the response breaks off, it panics with http.ErrAbortHandler, so that the client does not take the response for a
 // complete one: net/http then closes the connection without writing the rest of the declared length or the last chunk.
 // In HTTP/1.0, a body of unknown length ends with the connection, so the connection is reset in that case.
-func streamResponse(w http.ResponseWriter, r *http.Request, conn *Conn, response *exchange.Response) {
+func streamResponse(
+	w http.ResponseWriter, r *http.Request, conn *Conn, held *memory.Reservation, response *exchange.Response,
+) {
 	download := response.Download
 	stop := context.AfterFunc(r.Context(), download.Cancel) // ends the attempt at once if the client disconnects
 	defer stop()
 	conn.streaming.Store(true)
 	writeStreamHead(w, response)
-	err := copyDownload(w, download)
+	err := copyDownload(w, held, download)
 	download.Finish(err)
 	if err == nil {
 		return
@@ -62,20 +69,21 @@
 
 // copyDownload writes the body of a streamed response. If the client stops reading, it returns
 // exchange.ErrDownloadStopped joined with the cause. If the body cannot be read completely, it returns the read error.
-func copyDownload(w http.ResponseWriter, download *exchange.Download) error {
+func copyDownload(w http.ResponseWriter, held *memory.Reservation, download *exchange.Download) error {
 	controller := http.NewResponseController(w)
 	first := download.FirstBytes
 	download.FirstBytes = nil // so that it can be freed
 	if err := writePart(w, controller, first); err != nil {
 		return err
 	}
-	buffer := streamBufferPool.Get().(*[]byte)
-	defer streamBufferPool.Put(buffer)
+	held.ShrinkTo(memory.Responses, 0)
+	buffer, putBack := streamBuffer(held)
+	defer putBack()
 	for {
 		download.ExtendDeadline()
-		n, readErr := download.Body.Read(*buffer)
+		n, readErr := download.Body.Read(buffer)
 		if n > 0 {
-			if err := writePart(w, controller, (*buffer)[:n]); err != nil {
+			if err := writePart(w, controller, buffer[:n]); err != nil {
 				return err
 			}
 		}
@@ -88,6 +96,15 @@
 	}
 }
 
+// streamBuffer returns a buffer for a streamed response, and a function that returns it to its pool.
+func streamBuffer(held *memory.Reservation) (buffer []byte, putBack func()) {
+	if !held.Grow(memory.Responses, streamBufferSize) {
+		return make([]byte, smallStreamBufferSize), func() {}
+	}
+	pooled := streamBufferPool.Get().(*[]byte)
+	return *pooled, func() { streamBufferPool.Put(pooled) }
+}
+
 // writePart writes and flushes a part of a body.
 func writePart(w io.Writer, controller *http.ResponseController, part []byte) error {
 	if _, err := w.Write(part); err != nil {
--- a/internal/downstream/tracker.go
+++ b/internal/downstream/tracker.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"cindersaddle/internal/logging"
+	"cindersaddle/internal/memory"
 	"cindersaddle/internal/timing"
 )
 
@@ -15,6 +17,9 @@
 // maxConns/inactiveDivisor of them or more, connections are closed after their response.
 const inactiveDivisor = 4
 
+// refusalLogInterval is the minimum time between two log lines about refused heads or requests.
+const refusalLogInterval = time.Second
+
 // ConnTracker limits the number of open client connections. Without it, connections that stay open and send nothing
 // could use up all file descriptors, so that accept fails and no other client is served. The limit leaves descriptors
 // free; at the limit, a connection without a complete request is evicted for a new one. Its methods are safe for
@@ -25,6 +30,12 @@
 	openConns int // connections that are not closed, including those that are about to be closed
 	queues    connQueues
 
+	refusalLogs *logging.Limiter // of refused heads and requests
+
+	// Memory is the budget that connections and heads count against; nil means no limit. It must be set before the first
+	// connection is added.
+	Memory *memory.Budget
+
 	// BeforeRead, if set, is called before each read from a connection, with the address of the client. It is for tests
 	// and must be set before the first connection is added.
 	BeforeRead func(net.Addr)
@@ -38,13 +49,16 @@
 
 // NewConnTracker returns a tracker that admits at most maxConns connections.
 func NewConnTracker(maxConns int) *ConnTracker {
-	return &ConnTracker{maxConns: maxConns, Log: slog.New(slog.DiscardHandler)}
+	return &ConnTracker{
+		maxConns: maxConns, Log: slog.New(slog.DiscardHandler), refusalLogs: logging.NewLimiter(refusalLogInterval),
+	}
 }
 
 // Add adds a new connection. At the limit it evicts another one. If no other connection can be evicted, because all
 // have complete requests, it closes the new one and returns nil.
 func (t *ConnTracker) Add(tcpConn *net.TCPConn) *Conn {
-	conn := &Conn{TCPConn: tcpConn, tracker: t, openedAt: time.Now()}
+	conn := &Conn{TCPConn: tcpConn, tracker: t, openedAt: time.Now(), memory: t.Memory.NewReservation()}
+	conn.memory.Add(memory.Connections, connBytes)
 	admitted, victim := t.admit(conn)
 	if victim != nil {
 		victim.closeWithReason(reasonEvicted)
@@ -144,6 +158,7 @@
 		t.queues.move(conn, &t.queues.activeConns)
 	case http.StateIdle:
 		conn.finishResponse()
+		conn.memory.ShrinkTo(memory.Heads, 0)
 		t.queues.move(conn, &t.queues.idleConns)
 	}
 }
--- a/internal/endtoend/harness_test.go
+++ b/internal/endtoend/harness_test.go
@@ -253,6 +253,7 @@
 type wellBehaved struct {
 	sent, served, unanswered int
 	slowest                  time.Duration
+	outcomes                 map[standin.ExchangeOutcome]int
 }
 
 // run sends lookups until stop is closed.
@@ -260,6 +261,7 @@
 	const pause = 20 * time.Millisecond
 	client := standin.NewClient(address)
 	defer client.Close()
+	c.outcomes = map[standin.ExchangeOutcome]int{}
 	for {
 		select {
 		case <-stop:
@@ -268,6 +270,7 @@
 		}
 		exchange := client.Do(standin.Request{TraceID: newTraceID(), Class: lookupClass, Tenant: "acme", Deadline: lookupDeadline})
 		c.sent++
+		c.outcomes[exchange.Outcome]++
 		c.slowest = max(c.slowest, exchange.EndedAt.Sub(exchange.BeganAt))
 		switch exchange.Outcome {
 		case standin.ExchangeServed:
--- a/internal/endtoend/memory_test.go
+++ b/internal/endtoend/memory_test.go
@@ -185,8 +185,8 @@
 		t.Fatalf("the process has ended: %v, %v", exit, err)
 	}
 	limit := memoryMB * bytesPerMB * maxMemoryFraction
-	t.Logf("peak %.1f MiB; lookups: %d sent, %d served, %d unanswered, slowest %v",
-		float64(peak)/bytesPerMB, client.sent, client.served, client.unanswered, client.slowest.Round(time.Millisecond))
+	t.Logf("peak %.1f MiB; lookups: %d sent, %v, slowest %v",
+		float64(peak)/bytesPerMB, client.sent, client.outcomes, client.slowest.Round(time.Millisecond))
 	if float64(peak) > limit {
 		t.Errorf("got a peak of %.1f MiB resident memory, want at most %.1f of %v", float64(peak)/bytesPerMB, limit/bytesPerMB, memoryMB)
 	}
--- a/internal/eventloop/request.go
+++ b/internal/eventloop/request.go
@@ -91,6 +91,7 @@
 // deadline, long after the response, and must not keep headers and body in memory until then.
 func (r *request) release() {
 	r.state = stateReleased
+	r.exchange.Memory.Release()
 	r.exchange = nil
 	r.attempts.release()
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cindersaddle/balance"
+	"cindersaddle/internal/memory"
 )
 
 // Exchange is one request of a client while the sidecar handles it. Package downstream creates it and hands it to the
@@ -16,6 +17,9 @@
 	ReceivedAt time.Time       // when the last byte of the request was read; for an Upload, when its first part was read
 	Responses  chan *Response  // receives the final response; buffered for one value
 	Settings   *Settings       // settings that were in effect when the request was read
+	// Memory is the reservation of the request and its response. It is released when package downstream and the event loop are
+	// both done with the request.
+	Memory *memory.Reservation
 }
 
 // Response is the final response to a client.
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
+	"maps"
 	"net/http"
-	"net/url"
 	"time"
+
+	"cindersaddle/internal/memory"
 )
 
 // Message is the HTTP request that is sent to endpoints. It does not change once the event loop owns its Exchange; several
@@ -17,44 +18,44 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
-	Upload     *Upload // replaces Body if the body is too long to be buffered
+	Upload     *Upload             // replaces Body if the body is too long to be buffered
+	Memory     *memory.Reservation // as in Exchange; responses count against it
 	// ClientDisconnected reports whether the client has closed its connection, which the event loop may not know yet.
 	// It may discard bytes that the client sent after the request.
 	ClientDisconnected func() bool
 }
 
-// Encode returns the message in HTTP/1.1 format. ExpiryHeader holds the time that remains until the deadline.
-func (m *Message) Encode(deadline time.Time) ([]byte, error) {
-	var body io.ReadCloser
-	if len(m.Body) > 0 {
-		body = io.NopCloser(bytes.NewReader(m.Body))
+// EncodeHead returns the head of the message in HTTP/1.1 format, with the empty line at its end. ExpiryHeader holds the
+// remaining time, at least one microsecond. The length of the body is that of Body, or of Upload, which is sent in chunks if its
+// length is unknown.
+func (m *Message) EncodeHead(remaining time.Duration) []byte {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.Method, m.RequestURI, m.Host)
+	if userAgent := m.Header.Get("User-Agent"); userAgent != "" {
+		fmt.Fprintf(&head, "User-Agent: %s\r\n", userAgent)
 	}
-	req := m.NewRequest(time.Until(deadline), body, int64(len(m.Body)))
-	var encoded bytes.Buffer
-	if err := req.Write(&encoded); err != nil {
-		return nil, fmt.Errorf("encode request %s %s: %w", m.Method, m.RequestURI, err)
+	switch length := m.bodyLength(); {
+	case length < 0:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	case length > 0 || m.Method != http.MethodGet:
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", length)
 	}
-	return encoded.Bytes(), nil
+	header := maps.Clone(m.Header)
+	header.Set(ExpiryHeader, formatExpiry(remaining))
+	header.WriteSubset(&head, framingHeaders) // a buffer accepts all bytes
+	head.WriteString("\r\n")
+	return head.Bytes()
 }
 
-// NewRequest returns the message as an http.Request with the given body. length is the length of the body in bytes, or -1
-// if it is unknown. ExpiryHeader holds the remaining time, at least one microsecond.
-func (m *Message) NewRequest(remaining time.Duration, body io.ReadCloser, length int64) *http.Request {
-	req := &http.Request{
-		Method: m.Method,
-		URL:    &url.URL{Opaque: m.RequestURI}, // written as it is, without normalization
-		Header: m.Header.Clone(),
-		Host:   m.Host,
-	}
-	req.Header.Set(ExpiryHeader, formatExpiry(remaining))
-	if req.Header.Get("User-Agent") == "" {
-		req.Header.Set("User-Agent", "") // otherwise Write adds a default one
-	}
-	if body != nil {
-		req.Body = body
-		req.ContentLength = length
-	} else if m.Method != http.MethodGet {
-		req.Body = http.NoBody
+// framingHeaders are the headers that EncodeHead writes itself, or that do not apply to the message.
+var framingHeaders = map[string]bool{
+	"Host": true, "User-Agent": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true,
+}
+
+// bodyLength returns the length of the body in bytes, or -1 if it is unknown.
+func (m *Message) bodyLength() int64 {
+	if m.Upload != nil {
+		return m.Upload.Length
 	}
-	return req
+	return int64(len(m.Body))
 }
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cindersaddle/internal/memory"
 )
 
 const (
@@ -44,16 +46,17 @@
 	// MarkAwaitingResponse records that the request is complete. It returns an error if the client does not wait for a
 	// response.
 	MarkAwaitingResponse func() error
-	Budget               *ReplayBudget // budget that the buffered bytes count against
-	Discarded            atomic.Bool   // the bytes read so far are no longer buffered
-	Received             atomic.Bool   // the last byte was read from the client
+	Budget               *ReplayBudget       // budget that the buffered bytes count against
+	Memory               *memory.Reservation // of the request; the buffered bytes count against it, too
+	Discarded            atomic.Bool         // the bytes read so far are no longer buffered
+	Received             atomic.Bool         // the last byte was read from the client
 	lastByte             lastByteTracker
 
-	mu        sync.Mutex // guards the fields below
-	buffered  []byte     // the bytes read so far, unless Discarded
-	reserved  int        // bytes taken from Budget
-	bytesRead int64      // bytes read from Source
-	err       error      // why reading ended; io.EOF after the last byte
+	mu        sync.Mutex   // guards the fields below
+	buffered  replayBuffer // the bytes read so far, unless Discarded
+	reserved  int          // bytes taken from Budget
+	bytesRead int64        // bytes read from Source
+	err       error        // why reading ended; io.EOF after the last byte
 }
 
 // SetFirstBytes records the first bytes of the body, which package downstream has already read from Source. They do not
@@ -61,7 +64,7 @@
 func (u *Upload) SetFirstBytes(first []byte) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.buffered = first
+	u.buffered = replayBuffer{first: first, length: len(first)}
 	u.bytesRead = int64(len(first))
 }
 
--- a/internal/exchange/upload_test.go
+++ b/internal/exchange/upload_test.go
@@ -26,9 +26,9 @@
 			t.Fatal(err)
 		}
 	}
-	if first.Discarded.Load() || !second.Discarded.Load() || len(second.buffered) != 0 {
+	if first.Discarded.Load() || !second.Discarded.Load() || second.buffered.length != 0 {
 		t.Errorf("got discarded %v and %v, with %d bytes buffered in the second; want false and true, with 0 bytes",
-			first.Discarded.Load(), second.Discarded.Load(), len(second.buffered))
+			first.Discarded.Load(), second.Discarded.Load(), second.buffered.length)
 	}
 	replay := &UploadReader{Upload: first}
 	got, err := io.ReadAll(io.LimitReader(replay, readBytes))
--- a/internal/exchange/uploadreader.go
+++ b/internal/exchange/uploadreader.go
@@ -27,7 +27,7 @@
 	case u.Discarded.Load():
 		return 0, ErrBodyDiscarded
 	default:
-		n = copy(p, u.buffered[r.offset:])
+		n = u.buffered.copyFrom(p, r.offset)
 	}
 	r.offset += int64(n)
 	if r.Stopped.Load() { // the attempt ended during the read; another attempt may read these bytes
--- a/internal/http1/limitedreader.go
+++ b/internal/http1/limitedreader.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math"
@@ -36,12 +37,18 @@
 	source    io.Reader
 	remaining int       // bytes that may still be read
 	sizeError SizeError // returned when remaining is 0
+	headLines int       // line ends read since the limit of a head was set; may include some of the body
 }
 
+// maxHeadLines is the maximum of limitedReader.headLines. The buffer of the reader may contain as many bytes of a body after
+// the head.
+const maxHeadLines = MaxFields + 4096
+
 // setLimit allows limit more bytes, which belong to part.
 func (l *limitedReader) setLimit(part ResponsePart, limit int) {
 	l.remaining = limit
 	l.sizeError = SizeError{Part: part, Limit: limit}
+	l.headLines = 0
 }
 
 // Read implements io.Reader.
@@ -52,5 +59,11 @@
 	}
 	n, err := l.source.Read(buffer[:min(len(buffer), l.remaining)])
 	l.remaining -= n
+	if l.sizeError.Part == PartHead {
+		l.headLines += bytes.Count(buffer[:n], []byte("\n"))
+		if l.headLines > maxHeadLines {
+			return 0, ErrTooManyFields
+		}
+	}
 	return n, err
 }
--- a/internal/http1/observer.go
+++ b/internal/http1/observer.go
@@ -5,6 +5,8 @@
 type ResponseObserver interface {
 	// ResponseStarted is called when the head of a response with status 200 has arrived, but not its complete body.
 	ResponseStarted()
+	// ReserveBody reserves memory for more bytes of the body. If it returns false, the body is streamed instead of buffered.
+	ReserveBody(bytes int) bool
 	// ShortenDeadline is called before a read that should finish soon. It sets a shorter read deadline.
 	ShortenDeadline()
 	// ShortenedDeadlineExpired is called after a read that ended with an expired deadline, and reports whether that
@@ -22,6 +24,9 @@
 // ResponseStarted does nothing.
 func (NopResponseObserver) ResponseStarted() {}
 
+// ReserveBody returns true.
+func (NopResponseObserver) ReserveBody(int) bool { return true }
+
 // ShortenDeadline does nothing.
 func (NopResponseObserver) ShortenDeadline() {}
 
--- a/internal/http1/requestscanner.go
+++ b/internal/http1/requestscanner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,6 +17,9 @@
 	errFoldedHeader       = errors.New("request with a folded header line")
 )
 
+// ErrTooManyFields means that a head has more than MaxFields header lines.
+var ErrTooManyFields = fmt.Errorf("head with more than %d fields", MaxFields)
+
 const (
 	// maxLinePrefix is the number of bytes of a header line that are stored: enough for the names and numbers of the
 	// headers that define the framing.
@@ -43,6 +47,8 @@
 	contentLength       int64  // value of Content-Length in the current head, or unknownLength
 	hasTransferEncoding bool   // the current head has a Transfer-Encoding header
 	bodyRemaining       int64  // bytes of the current body that have not arrived
+	headBytes           int    // bytes of the current head that have arrived
+	headFields          int    // header lines of the current head that have arrived
 
 	// Chunked is set after the head of a chunked request. The scanner does not parse the bytes after it, so the
 	// connection must be closed after this request.
@@ -60,6 +66,9 @@
 	lastByteAt atomic.Pointer[time.Time] // when the last byte arrived, on the monotonic clock; nil before the first
 }
 
+// HeadSize returns the size of the current or last head, as far as it has arrived, in bytes and in header lines.
+func (s *RequestScanner) HeadSize() (bytes, fields int) { return s.headBytes, s.headFields }
+
 // LastByteAt returns when the last byte arrived, and whether a byte has been received at all.
 func (s *RequestScanner) LastByteAt() (at time.Time, received bool) { return loadTime(&s.lastByteAt) }
 
@@ -94,9 +103,11 @@
 			end := bytes.IndexByte(rest, '\n')
 			if end < 0 {
 				s.appendLine(rest, now)
+				s.headBytes += len(rest)
 				return len(data)
 			}
 			s.appendLine(rest[:end], now)
+			s.headBytes += end + 1
 			s.Err = s.endLine()
 			if s.Err != nil {
 				return len(data) - len(rest) + end
@@ -133,6 +144,7 @@
 	s.hasTransferEncoding = false
 	s.contentLength = unknownLength
 	s.linePrefix = s.linePrefix[:0]
+	s.headBytes, s.headFields = 0, 0
 	s.startedAt.Store(&now)
 	s.RequestsStarted.Add(1)
 }
@@ -156,6 +168,10 @@
 
 // scanHeader processes a header line, and stores what the headers Transfer-Encoding and Content-Length say.
 func (s *RequestScanner) scanHeader(line string) error {
+	s.headFields++
+	if s.headFields > MaxFields {
+		return ErrTooManyFields
+	}
 	name, value, _ := strings.Cut(line, ":")
 	switch strings.ToLower(strings.TrimSpace(name)) {
 	case "transfer-encoding":
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -91,8 +91,7 @@
 		observer.ShortenDeadline()
 		defer observer.RestoreDeadline()
 	}
-	body, err = io.ReadAll(io.LimitReader(resp.Body, MaxBufferedBody+1))
-	streamed = len(body) > MaxBufferedBody
+	body, streamed, err = bufferBody(resp, observer)
 	if mayStream && errors.Is(err, os.ErrDeadlineExceeded) && observer.ShortenedDeadlineExpired() {
 		observer.RestoreDeadline()
 		if len(body) == 0 {
@@ -111,6 +110,47 @@
 	return body, streamed, err
 }
 
+// freeBodyBytes is the size of a body in bytes up to which no memory is reserved for it.
+const freeBodyBytes = 4 << 10
+
+// bufferBody reads a body until its end, until it is longer than MaxBufferedBody, or until there is no memory for more of it. In
+// the last two cases it reports that the body must be streamed. Only a response with status 200 is streamed for lack of memory.
+func bufferBody(resp *http.Response, observer ResponseObserver) (body []byte, streamed bool, err error) {
+	body = make([]byte, 0, bodyCapacity(0, resp.ContentLength))
+	for {
+		if len(body) > MaxBufferedBody {
+			return body, true, nil
+		}
+		if len(body) == cap(body) {
+			grown := bodyCapacity(cap(body), resp.ContentLength)
+			if !observer.ReserveBody(grown-cap(body)) && resp.StatusCode == http.StatusOK {
+				return body, true, nil
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, len(body) > MaxBufferedBody, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+}
+
+// bodyCapacity returns the next capacity of the buffer of a body: at first freeBodyBytes, then the declared length or, if that is
+// unknown, twice the current capacity, but no more than one byte more than a buffered body may have.
+func bodyCapacity(current int, declared int64) int {
+	if current == 0 {
+		return freeBodyBytes
+	}
+	if declared >= 0 && declared < MaxBufferedBody {
+		return max(int(declared)+1, current+1) // one more, so that the end is read before the buffer is full
+	}
+	return min(2*current, MaxBufferedBody+1)
+}
+
 // readFirstPart waits for the first bytes of a body and returns them. It returns io.EOF for an empty body.
 func readFirstPart(body io.Reader) ([]byte, error) {
 	buffer := make([]byte, firstPartSize)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"cindersaddle/internal/memory"
 )
 
 // GaugeUpdatesPerSecond is how often per second the event loop updates the gauges whose values only it knows. They
@@ -29,6 +31,10 @@
 	InvalidRequests      atomic.Int64 // requests that were answered with a 4xx status because they are invalid
 	UnavailableEndpoints atomic.Int64 // endpoints draining, ejected, in a zone outage, or failing the last health check
 
+	// MemoryUsage returns what the process holds for its peers; nil means that there is no budget. It must be set before the
+	// metrics are rendered.
+	MemoryUsage func() []memory.Usage
+
 	mu      sync.Mutex // guards the slice classes; the counters themselves are atomic
 	classes []*ClassCounters
 }
--- a/internal/metrics/text.go
+++ b/internal/metrics/text.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+
+	"cindersaddle/internal/memory"
 )
 
 // namePrefix is the prefix of the name of every metric.
@@ -27,6 +29,28 @@
 func (m *Metrics) WriteText(w io.Writer) {
 	m.writeRequestCounters(w)
 	m.writeProcessMetrics(w)
+	m.writeMemoryUsage(w)
+}
+
+// writeMemoryUsage renders what the process holds for its peers, by kind.
+func (m *Metrics) writeMemoryUsage(w io.Writer) {
+	if m.MemoryUsage == nil {
+		return
+	}
+	usage := m.MemoryUsage()
+	for _, metric := range []struct {
+		name, metricType, help string
+		value                  func(memory.Usage) int64
+	}{
+		{"memory_held_bytes", typeGauge, "Bytes held for peers.", func(u memory.Usage) int64 { return u.Held }},
+		{"memory_waits_total", typeCounter, "Times that bytes were waited for.", func(u memory.Usage) int64 { return u.Waited }},
+		{"memory_refusals_total", typeCounter, "Times that bytes were not available.", func(u memory.Usage) int64 { return u.Refused }},
+	} {
+		writeHeader(w, metric.name, metric.metricType, metric.help)
+		for _, kind := range usage {
+			fmt.Fprintf(w, "%s%s{kind=%q} %d\n", namePrefix, metric.name, kind.Kind.String(), metric.value(kind))
+		}
+	}
 }
 
 // writeRequestCounters renders the counters of all classes.
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -3,6 +3,7 @@
 import (
 	"cindersaddle/internal/admin"
 	"cindersaddle/internal/config"
+	"cindersaddle/internal/downstream"
 )
 
 // applyLimits sets this process's share of the sidecar's socket and memory limits. processes is the number of processes
@@ -16,6 +17,8 @@
 	sockets = max(sockets, config.MinSockets-config.ReservedSockets)
 	upstreamSockets := sockets / 2
 	s.upstreamPool.SetLimit(upstreamSockets)
-	s.clientConns.SetLimit(sockets - upstreamSockets)
+	heldBytes := s.cfg.Limits.HeldBytes(processes)
+	s.memory.SetLimit(heldBytes)
+	s.clientConns.SetLimit(min(sockets-upstreamSockets, downstream.MaxConns(heldBytes)))
 	s.cfg.Limits.ApplyMemory(processes)
 }
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -12,6 +12,7 @@
 	"cindersaddle/internal/downstream"
 	"cindersaddle/internal/eventloop"
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/memory"
 	"cindersaddle/internal/metrics"
 	"cindersaddle/internal/upstream"
 )
@@ -40,6 +41,7 @@
 	log          *slog.Logger
 	state        *exchange.ServiceState
 	metrics      *metrics.Metrics
+	memory       *memory.Budget // of everything that the process holds for clients and endpoints
 	loop         *eventloop.Loop
 	watcher      *discovery.Watcher
 	upstreamPool *upstream.Pool
@@ -55,8 +57,11 @@
 		log:       log,
 		state:     &exchange.ServiceState{},
 		metrics:   &metrics.Metrics{},
+		memory:    memory.NewBudget(cfg.Limits.HeldBytes(1)),
 	}
-	s.upstreamPool = newPool(cfg, shortenIdleTimeout(cfg))
+	s.metrics.MemoryUsage = s.memory.Usage
+	s.upstreamPool = newPool(cfg, shortenIdleTimeout(cfg), s.memory)
+	s.memory.SetReclaim(s.upstreamPool.Evict)
 	s.loop = eventloop.New(ctx, cfg, s.state, s.metrics, log)
 	s.loop.SetPredecessorState(resources.predecessorState)
 	s.watcher = discovery.NewWatcher(cfg, s.loop)
@@ -64,6 +69,7 @@
 	s.loop.Attach(client, s.watcher)
 	s.clientConns = downstream.NewConnTracker(0) // applyLimits sets the limit
 	s.clientConns.Log = log
+	s.clientConns.Memory = s.memory
 	s.clientConns.BeforeRead = resources.readHooks.before
 	s.clientConns.AfterRead = resources.readHooks.after
 	s.applyLimits(1)
@@ -85,11 +91,12 @@
 
 // newPool returns the pool of connections to endpoints. applyLimits sets the connection limit of the pool. idleTimeout
 // is how long the pool keeps an idle connection; 0 means defaultIdleTimeout.
-func newPool(cfg *config.Config, idleTimeout time.Duration) *upstream.Pool {
+func newPool(cfg *config.Config, idleTimeout time.Duration, budget *memory.Budget) *upstream.Pool {
 	return upstream.NewPool(upstream.PoolConfig{
 		ConnectTimeout: cmp.Or(cfg.Balance.ConnectTimeout.Duration(), defaultConnectTimeout),
 		IdleTimeout:    cmp.Or(idleTimeout, defaultIdleTimeout),
 		ReuseDelay:     cfg.ConnReuseDelay,
+		Memory:         budget,
 	})
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"cindersaddle/internal/memory"
 )
 
 // PoolConfig configures a Pool.
@@ -15,14 +17,20 @@
 	// and a connection with unread bytes is not reused.
 	ReuseDelay time.Duration
 	MaxConns   int // limit on the connections in use, idle and being opened
+	// Memory is the budget that the connections count against; nil means no limit.
+	Memory *memory.Budget
 }
 
+// connBytes is what a connection takes in memory, in bytes.
+const connBytes = 6 << 10
+
 // Pool opens connections to endpoints up to a limit and keeps idle ones for reuse. It is safe for concurrent use.
 type Pool struct {
 	connectTimeout time.Duration
 	idleTimeout    time.Duration
 	reuseDelay     time.Duration
 	afterDial      func() // test hook, called after a connection is opened; may be nil
+	memory         *memory.Reservation
 
 	mu        sync.Mutex
 	maxConns  int       // limit of openConns
@@ -37,6 +45,7 @@
 		idleTimeout:    config.IdleTimeout,
 		reuseDelay:     config.ReuseDelay,
 		maxConns:       config.MaxConns,
+		memory:         config.Memory.NewReservation(),
 		idle:           idleConns{},
 	}
 }
@@ -126,6 +135,7 @@
 		return p.maxConns, false
 	}
 	p.openConns++
+	p.memory.Add(memory.Connections, connBytes)
 	return p.maxConns, true
 }
 
@@ -134,4 +144,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openConns--
+	p.memory.ShrinkTo(memory.Connections, p.openConns*connBytes)
 }
--- a/internal/upstream/responseobserver.go
+++ b/internal/upstream/responseobserver.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"cindersaddle/internal/memory"
+)
 
 // unknownLengthGrace is how long it may take, after the head, to read the complete body of a response of unknown
 // length. If it takes longer, the body is streamed to the client, which is waiting for the first bytes.
@@ -15,6 +19,11 @@
 // ResponseStarted implements http1.ResponseObserver.
 func (o deadlineObserver) ResponseStarted() { o.attempt.notifyResponseStarted() }
 
+// ReserveBody implements http1.ResponseObserver.
+func (o deadlineObserver) ReserveBody(bytes int) bool {
+	return o.attempt.Message.Memory.Grow(memory.Responses, bytes)
+}
+
 // ShortenDeadline implements http1.ResponseObserver.
 func (o deadlineObserver) ShortenDeadline() {
 	o.attempt.setReadDeadline(o.conn, earlier(o.attempt.responseDeadline(), time.Now().Add(unknownLengthGrace)))
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cindersaddle/balance"
+	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/http1"
 	"cindersaddle/internal/socket"
 )
@@ -43,14 +44,12 @@
 
 // roundTripBuffered sends a request whose complete body is in memory and reads the response.
 func (c *Client) roundTripBuffered(attempt *Attempt, conn *endpointConn) roundTripOutcome {
-	request, err := attempt.Message.Encode(attempt.Deadline)
-	if err != nil {
-		return failedRoundTrip(balance.NotAttempted, err)
-	}
-	// A request that may have been executed must not be retried. It is written in a single call, so that the number of
-	// bytes that the kernel accepted shows whether the last byte was sent.
-	if written, err := conn.Write(request); written < len(request) {
-		return failedRoundTrip(attempt.writeErrorResult(err), err)
+	// A request that may have been executed must not be retried. Its last byte was sent if the kernel accepted all bytes of
+	// the last call.
+	for _, part := range requestParts(attempt.Message, time.Until(attempt.Deadline)) {
+		if written, err := conn.Write(part); written < len(part) {
+			return failedRoundTrip(attempt.writeErrorResult(err), err)
+		}
 	}
 	attempt.requestWritten.Store(true)
 	c.metrics.Attempts.Add(1)
@@ -61,12 +60,27 @@
 	return c.handleResponse(attempt, conn, response)
 }
 
+// maxJoinedBody is the size in bytes up to which a body is sent in one call with the head. A longer one is not copied.
+const maxJoinedBody = 4 << 10
+
+// requestParts returns a message in HTTP/1.1 format, in the parts in which it is written.
+func requestParts(message *exchange.Message, remaining time.Duration) [][]byte {
+	head := message.EncodeHead(remaining)
+	switch {
+	case len(message.Body) == 0:
+		return [][]byte{head}
+	case len(message.Body) <= maxJoinedBody:
+		return [][]byte{append(head, message.Body...)}
+	}
+	return [][]byte{head, message.Body}
+}
+
 // roundTripUpload sends a request while its body is still arriving from the client. The response may arrive before the
 // body is complete.
 func (c *Client) roundTripUpload(attempt *Attempt, conn *endpointConn) roundTripOutcome {
 	writer := newUploadWriter(attempt, conn)
-	request := attempt.Message.NewRequest(attempt.PostUploadTimeout, writer.source, writer.source.Length)
-	go writer.run(request, func(sentAt time.Time) { c.uploadSent(attempt, conn, sentAt) })
+	head := attempt.Message.EncodeHead(attempt.PostUploadTimeout)
+	go writer.run(head, func(sentAt time.Time) { c.uploadSent(attempt, conn, sentAt) })
 
 	response, err := conn.reader.Next(attempt.Message.Method, deadlineObserver{attempt, conn})
 	var result roundTripOutcome
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
+	"io"
+	"net/http/httputil"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,9 +51,9 @@
 }
 
 // run writes the request. After the last byte is written, it calls onSent with the time just before that write.
-func (w *uploadWriter) run(request *http.Request, onSent func(sentAt time.Time)) {
+func (w *uploadWriter) run(head []byte, onSent func(sentAt time.Time)) {
 	defer close(w.done)
-	err := request.Write(w)
+	err := w.writeRequest(head)
 	var sentAt time.Time
 	if err == nil {
 		sentAt, err = w.writeLastByte()
@@ -66,6 +67,51 @@
 	w.conn.SetReadDeadline(time.Now().Add(earlyResponseGrace))
 }
 
+// uploadPieceBytes is the maximum number of bytes of a body that are read and written at a time.
+const uploadPieceBytes = 8 << 10
+
+// writeRequest writes the head and the body, in chunks if its length is unknown. The last byte is withheld.
+func (w *uploadWriter) writeRequest(head []byte) error {
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	buffer := make([]byte, uploadPieceBytes)
+	if w.source.Length >= 0 {
+		return w.copyBody(w, buffer)
+	}
+	chunks := httputil.NewChunkedWriter(w)
+	if err := w.copyBody(chunks, buffer); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, "\r\n") // no trailers
+	return err
+}
+
+// copyBody copies the body to a writer. It returns an error if the body has another length than declared.
+func (w *uploadWriter) copyBody(to io.Writer, buffer []byte) error {
+	total := int64(0)
+	for {
+		n, err := w.source.Read(buffer)
+		total += int64(n)
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF && w.source.Length >= 0 && total != w.source.Length:
+			return io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
 // Write writes the byte withheld by the previous call and all bytes of p except the last one, which it withholds.
 func (w *uploadWriter) Write(p []byte) (int, error) {
 	if len(p) == 0 {
