End long orders in time, whatever their endpoint does with the body

Cause: the time ran only from the last byte that the endpoint had accepted. The client had written it long before, into buffers of the kernel.

Now it runs from the earliest time at which the client may have written the last byte. exchange.ArrivalClock derives that from what has arrived, also unread (SIOCINQ): it was not written while the receive buffer was empty for 20 ms, while more was missing than the client's send buffer can hold (tcp_wmem), or while the client could send and bytes were missing. The event loop checks every 100 ms and fails the request with 504 ("body not sent in time"). The clock replaces the count of pauses between attempts, which ended a slowly sent body early after a retry (known issue).

--- a/internal/downstream/api.go
+++ b/internal/downstream/api.go
@@ -21,6 +21,7 @@
 	}
 	if upload := ex.Message.Upload; upload != nil {
 		defer conn.uploading.Store(false)
+		defer conn.endArrival()
 		defer upload.Release()
 	}
 	conn.record.setPhase(phaseAwaiting)
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -68,7 +68,7 @@
 		},
 	}
 	upload.SetFirstBytes(firstBytes)
-	upload.MarkReadingPaused(time.Now())
+	conn.startArrival(upload)
 	return upload
 }
 
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/fault"
 	"cindersaddle/internal/http1"
 	"cindersaddle/internal/memory"
@@ -42,11 +43,14 @@
 	// goroutine, scanner.Err by the reading goroutine and scanner.Chunked by the serving goroutine.
 	readMu               sync.Mutex
 	scanner              http1.RequestScanner
-	closing              bool  // the connection is about to be closed; nothing more is read from it
-	awaitingResponse     bool  // a complete request awaits its response
-	lastRespondedRequest int64 // number of the last request whose response was started; see startResponse
-	responsesFinished    int64 // count of responses that were written completely
-	trailingBytes        int   // bytes that were discarded while a request awaited its response
+	closing              bool             // the connection is about to be closed; nothing more is read from it
+	awaitingResponse     bool             // a complete request awaits its response
+	lastRespondedRequest int64            // number of the last request whose response was started; see startResponse
+	responsesFinished    int64            // count of responses that were written completely
+	trailingBytes        int              // bytes that were discarded while a request awaited its response
+	bytesRead            int64            // bytes that were read and passed on to net/http
+	emptyAt              time.Time        // until when the receive buffer was last empty for exchange.SettleTime; zero: never
+	upload               *exchange.Upload // the upload of the current request, or nil
 
 	// tracker.mu guards the fields below.
 	queue        *list.List    // the queue that the connection is in; nil once the connection is about to be closed
--- a/internal/downstream/conn_read.go
+++ b/internal/downstream/conn_read.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/socket"
 )
 
@@ -67,9 +68,14 @@
 	if err != nil {
 		return 0, err
 	}
+	var emptySince time.Time
 	waitErr := raw.Read(func(fd uintptr) bool {
+		if !emptySince.IsZero() && time.Since(emptySince) >= exchange.SettleTime {
+			c.noteEmpty(time.Now())
+		}
 		var done bool
 		n, done, err = c.tryRead(int(fd), buffer)
+		emptySince = time.Now()
 		return done
 	})
 	if waitErr != nil {
@@ -100,7 +106,10 @@
 	case n == 0 && len(buffer) > 0:
 		return 0, true, io.EOF
 	}
-	accepted := c.scanner.Scan(buffer[:n], time.Now())
+	now := time.Now()
+	accepted := c.scanner.Scan(buffer[:n], now)
+	c.bytesRead += int64(accepted)
+	c.observeArrivalLocked(now)
 	if accepted == 0 && n > 0 {
 		return 0, true, c.scanner.Err
 	}
--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"log/slog"
 	"time"
 
 	"cindersaddle/balance"
@@ -19,7 +20,9 @@
 	l.settings.Translate(ex.Settings, &ex.Request)
 	req.subtractQueueTime(l.clock.now - l.clock.toMilliseconds(ex.ReceivedAt))
 	l.requests.add(req)
-	if !req.isUploading() {
+	if req.isUploading() {
+		l.scheduleUploadDeadline(req)
+	} else {
 		l.startDeadline(req, ex.ReceivedAt)
 	}
 	l.notifyBalancer(ex.Request)
@@ -50,3 +53,34 @@
 	req.setDeadline(l.clock.now)
 	l.timers.schedule(timer{dueAt: req.deadline + deadlineSlack, request: req})
 }
+
+// uploadCheckInterval is the longest time between two checks of how much of a long body has arrived.
+const uploadCheckInterval balance.Milliseconds = 100
+
+// scheduleUploadDeadline sets a timer for the next check of a request in stateUploading.
+func (l *Loop) scheduleUploadDeadline(req *request) {
+	dueAt := min(l.uploadDeadline(req)+deadlineSlack, l.clock.now+uploadCheckInterval)
+	l.timers.schedule(timer{dueAt: dueAt, request: req})
+}
+
+// uploadDeadline returns the deadline of a request in stateUploading if no more of its body arrives.
+func (l *Loop) uploadDeadline(req *request) balance.Milliseconds {
+	lastByteAt := l.clock.toMilliseconds(req.exchange.Message.Upload.EarliestLastByte())
+	return lastByteAt + req.exchange.Request.Remaining
+}
+
+// handleDeadlineTimer fails a request that awaits its response after its deadline. The deadline of a long body moves while the
+// client has not written the last byte; its timer is set again then.
+func (l *Loop) handleDeadlineTimer(req *request) {
+	switch {
+	case !req.awaitsResponse():
+	case !req.isUploading():
+		if l.clock.now >= req.deadline {
+			l.expireRequest(req, slog.LevelError, reasonDeadlineExceeded)
+		}
+	case l.clock.now < l.uploadDeadline(req):
+		l.scheduleUploadDeadline(req)
+	default:
+		l.expireRequest(req, slog.LevelInfo, reasonBodyNotSent)
+	}
+}
--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -29,9 +29,6 @@
 
 // newAttempt returns the next attempt of a request. Its Endpoint is nil if the endpoint has been removed.
 func (l *Loop) newAttempt(req *request, action *balance.Action) *upstream.Attempt {
-	if upload := req.exchange.Message.Upload; upload != nil {
-		upload.CountReadingPause()
-	}
 	deadline := req.attemptDeadline(l.clock.now, action.Deadline)
 	attempt := &upstream.Attempt{
 		RequestID:         req.id,
--- a/internal/eventloop/run.go
+++ b/internal/eventloop/run.go
@@ -95,7 +95,7 @@
 			return
 		}
 		if due.request != nil {
-			l.expireRequest(due.request)
+			l.handleDeadlineTimer(due.request)
 		} else {
 			l.notifyBalancer(balance.TimerFired{Token: due.token})
 		}
--- a/internal/eventloop/unserved.go
+++ b/internal/eventloop/unserved.go
@@ -23,13 +23,15 @@
 //	client disconnected       none                        handleDisconnect        client disconnected
 //	same, found by attempt    none, connection closed     abortRequest            -
 //	not finished in time      504                         expireRequest           deadline exceeded
+//	long body not sent        504                         expireRequest           body not sent in time
 type unservedReason string
 
 const (
-	reasonRejected           unservedReason = "rejected"            // by the balancer: the client may retry safely
-	reasonFailed             unservedReason = "failed"              // by the balancer: a retry might execute it again
-	reasonClientDisconnected unservedReason = "client disconnected" // before the client got its response
-	reasonDeadlineExceeded   unservedReason = "deadline exceeded"   // the balancer has not finished the request in time
+	reasonRejected           unservedReason = "rejected"              // by the balancer: the client may retry safely
+	reasonFailed             unservedReason = "failed"                // by the balancer: a retry might execute it again
+	reasonClientDisconnected unservedReason = "client disconnected"   // before the client got its response
+	reasonDeadlineExceeded   unservedReason = "deadline exceeded"     // the balancer has not finished the request in time
+	reasonBodyNotSent        unservedReason = "body not sent in time" // the endpoint has not accepted the long body in time
 )
 
 // rejectRequest finishes a request that the balancer rejected. The client may safely retry it: either no endpoint has
@@ -63,13 +65,11 @@
 // Package downstream may not notice the disconnect itself, so the response tells it to close the connection.
 func (l *Loop) abortRequest(req *request) { l.finishRequest(req, &exchange.Response{Abort: true}) }
 
-// expireRequest fails a request that awaits its response after its deadline. It guards against a fault in the balancer:
-// a request that the balancer never finishes would leave its client waiting forever.
-func (l *Loop) expireRequest(req *request) {
-	if !req.awaitsResponse() {
-		return
-	}
-	l.logUnserved(req, slog.LevelError, reasonDeadlineExceeded)
+// expireRequest fails a request that awaits its response after its deadline. For a complete request, it guards against a
+// fault in the balancer: a request that the balancer never finishes would leave its client waiting forever. A long body that the
+// endpoint accepts too slowly is failed here, because the balancer counts the time only from the last byte sent.
+func (l *Loop) expireRequest(req *request, level slog.Level, reason unservedReason) {
+	l.logUnserved(req, level, reason)
 	l.finishWithoutBalancer(req, textResponse(http.StatusGatewayTimeout, "out of time"))
 }
 
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -50,7 +50,10 @@
 	Memory               *memory.Reservation // of the request; the buffered bytes count against it, too
 	Discarded            atomic.Bool         // the bytes read so far are no longer buffered
 	Received             atomic.Bool         // the last byte was read from the client
-	lastByte             lastByteTracker
+	// Arrival determines when the client may have written the last byte. Package downstream updates it.
+	Arrival ArrivalClock
+	// ObserveArrival updates Arrival with what has arrived by now; nil if nothing is known about that.
+	ObserveArrival func()
 
 	mu        sync.Mutex   // guards the fields below
 	buffered  replayBuffer // the bytes read so far, unless Discarded
@@ -80,40 +83,29 @@
 	u.discardBuffer()
 }
 
-// MarkReceived records that the last byte was read from the client at the given time.
-func (u *Upload) MarkReceived(at time.Time) {
-	u.lastByte.received(at)
-	u.Received.Store(true)
-}
-
-// MarkReadingPaused records that no attempt reads the body, starting at from.
-func (u *Upload) MarkReadingPaused(from time.Time) { u.lastByte.pause(from) }
+// SinceLastByte returns how long ago the client may have written the last byte, at most.
+func (u *Upload) SinceLastByte() time.Duration { return time.Since(u.EarliestLastByte()) }
 
-// CountReadingPause adds the time during which no attempt has read the body to the result of SinceLastByte, unless the last
-// byte was read. It is called when a new attempt is created.
-func (u *Upload) CountReadingPause() {
-	if !u.Received.Load() {
-		u.lastByte.addPause(time.Now())
+// EarliestLastByte returns when the client may have written the last byte, at the earliest.
+func (u *Upload) EarliestLastByte() time.Time {
+	if u.ObserveArrival != nil {
+		u.ObserveArrival()
 	}
+	return u.Arrival.EarliestLastByte()
 }
 
-// SinceLastByte returns how long ago the last byte may have arrived, at most. While the byte has not been read, that is the
-// time during which no attempt was reading, because it may have arrived then.
-func (u *Upload) SinceLastByte() time.Duration { return u.lastByte.maxAge() }
-
 // readSource reads the next bytes from the client. The caller holds mu.
 func (u *Upload) readSource(p []byte) (int, error) {
 	if u.err != nil {
 		return 0, u.err
 	}
 	u.SetReadTimeout(StallTimeout)
-	u.lastByte.resume()
 	n, err := u.Source.Read(p)
-	u.lastByte.pause(time.Now())
 	u.bytesRead += int64(n)
 	u.bufferForReplay(p[:n])
 	if err == io.EOF {
-		u.MarkReceived(time.Now())
+		u.Arrival.Complete()
+		u.Received.Store(true)
 	}
 	if err != nil && err != io.EOF {
 		err = ClientError{err}
--- a/internal/http1/requestscanner.go
+++ b/internal/http1/requestscanner.go
@@ -26,8 +26,8 @@
 	maxLinePrefix = 64
 	// maxLengthBits is the number of bits of the largest Content-Length, which must fit into an int64.
 	maxLengthBits = 63
-	// unknownLength is the value of RequestScanner.contentLength if the head has no Content-Length header.
-	unknownLength = -1
+	// UnknownLength is a length that the head does not give.
+	UnknownLength = -1
 )
 
 // RequestScanner scans the bytes of one client connection and finds where each request begins and ends.
@@ -44,7 +44,7 @@
 	linePrefix          []byte // the first bytes of the current line of a head, at most maxLinePrefix
 	inHead              bool   // a request line or header line is being read
 	inRequestLine       bool   // the current line is the request line
-	contentLength       int64  // value of Content-Length in the current head, or unknownLength
+	contentLength       int64  // value of Content-Length in the current head, or UnknownLength
 	hasTransferEncoding bool   // the current head has a Transfer-Encoding header
 	bodyRemaining       int64  // bytes of the current body that have not arrived
 	headBytes           int    // bytes of the current head that have arrived
@@ -69,6 +69,14 @@
 // HeadSize returns the size of the current or last head, as far as it has arrived, in bytes and in header lines.
 func (s *RequestScanner) HeadSize() (bytes, fields int) { return s.headBytes, s.headFields }
 
+// BodyMissing returns how many bytes of the current body have not been scanned, or UnknownLength if it is chunked.
+func (s *RequestScanner) BodyMissing() int64 {
+	if s.Chunked {
+		return UnknownLength
+	}
+	return s.bodyRemaining
+}
+
 // LastByteAt returns when the last byte arrived, and whether a byte has been received at all.
 func (s *RequestScanner) LastByteAt() (at time.Time, received bool) { return loadTime(&s.lastByteAt) }
 
@@ -142,7 +150,7 @@
 	s.inHead = true
 	s.inRequestLine = true
 	s.hasTransferEncoding = false
-	s.contentLength = unknownLength
+	s.contentLength = UnknownLength
 	s.linePrefix = s.linePrefix[:0]
 	s.headBytes, s.headFields = 0, 0
 	s.startedAt.Store(&now)
@@ -178,7 +186,7 @@
 		s.hasTransferEncoding = true
 	case "content-length":
 		length, err := strconv.ParseUint(strings.TrimSpace(value), 10, maxLengthBits)
-		if err != nil || s.contentLength != unknownLength {
+		if err != nil || s.contentLength != UnknownLength {
 			return errInvalidLength
 		}
 		s.contentLength = int64(length)
@@ -190,7 +198,7 @@
 func (s *RequestScanner) endHead() error {
 	s.inHead = false
 	switch {
-	case s.hasTransferEncoding && s.contentLength != unknownLength:
+	case s.hasTransferEncoding && s.contentLength != UnknownLength:
 		return errConflictingLengths
 	case s.hasTransferEncoding:
 		s.Chunked = true
