Execute a trace ID that may have been executed no second time

Cause: the sidecar knew a trace ID only while its request was open, and each process of an upgrade only its own.

A repeated one gets 409, as one that is open. Requests of a class that is safe to repeat are not claimed.

TestOrderIsNotExecutedAgainByOtherProcess passes; it was not run before.

--- a/internal/endtoend/harness_test.go
+++ b/internal/endtoend/harness_test.go
@@ -131,6 +131,7 @@
 	*standin.Process
 	address   string // of the sidecar, for clients
 	endpoints []*endpoint
+	dir       string // of the configuration file, and the directory that the processes of an upgrade share
 }
 
 // options are the properties of a setup that differ between tests.
@@ -145,7 +146,7 @@
 // start starts endpoints and a sidecar, which are stopped at the end of the test.
 func start(t *testing.T, opts options) *setup {
 	t.Helper()
-	s := &setup{}
+	s := &setup{dir: t.TempDir()}
 	var known []membership.Endpoint
 	for i := range endpointCount {
 		e := startEndpoint(t, opts.receiveBuffer, opts.orders)
@@ -171,7 +172,7 @@
 	if opts.upgradable {
 		config.Admin = freeAddress(t)
 	}
-	s.Process, err = standin.StartProcess(program, t.TempDir(), config)
+	s.Process, err = standin.StartProcess(program, s.dir, config)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,6 +201,19 @@
 	return conn
 }
 
+// startSuccessor starts a second process beside the running one, for an upgrade.
+func (s *setup) startSuccessor(t *testing.T) *standin.Process {
+	t.Helper()
+	config := s.Config
+	config.Name, config.Admin = "n1-successor", freeAddress(t)
+	successor, err := standin.StartProcess(program, s.dir, config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(successor.Kill)
+	return successor
+}
+
 // freeAddress returns an address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/endtoend/repeat_test.go
+++ b/internal/endtoend/repeat_test.go
@@ -11,8 +11,24 @@
 // TestOrderIsNotExecutedAgainAfterItsClientLeft guards against the second execution of a trace ID: an order reaches an
 // endpoint, its client closes the connection and sends the order with the same ID again.
 func TestOrderIsNotExecutedAgainAfterItsClientLeft(t *testing.T) {
-	const orders = 30
 	s := start(t, options{memoryMB: ampleMemoryMB, sockets: usualSockets, orders: readAndRespond(300*time.Millisecond, 64<<10)})
+	checkRepeatedOrders(t, s)
+}
+
+// TestOrderIsNotExecutedAgainByOtherProcess guards against the same fault while two processes of an upgrade accept connections
+// at one address: the order comes again to the one that has not seen it.
+func TestOrderIsNotExecutedAgainByOtherProcess(t *testing.T) {
+	s := start(t, options{
+		memoryMB: ampleMemoryMB, sockets: usualSockets, orders: readAndRespond(300*time.Millisecond, 64<<10), upgradable: true,
+	})
+	s.startSuccessor(t)
+	checkRepeatedOrders(t, s)
+}
+
+// checkRepeatedOrders sends orders whose clients leave and come again, and checks that none is executed twice.
+func checkRepeatedOrders(t *testing.T, s *setup) {
+	t.Helper()
+	const orders = 30
 	for i := range orders {
 		traceID, conn := newTraceID(), s.dial(t)
 		io.WriteString(conn, orderHead(traceID, contentLength(0)))
--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -13,7 +13,11 @@
 	req := newRequest(l.requests.nextID(), ex)
 	l.metrics.PendingRequests.Add(1)
 	if l.requests.byTraceID[ex.TraceID] != nil {
-		l.rejectDuplicate(req)
+		l.rejectDuplicate(req, reasonIDOpen)
+		return
+	}
+	if !l.claimID(req) {
+		l.rejectDuplicate(req, reasonIDExecuted)
 		return
 	}
 	ex.Request.ID = req.id
@@ -28,6 +32,17 @@
 	l.notifyBalancer(ex.Request)
 }
 
+// claimID claims the trace ID of a request that must not be executed twice. It returns false if another request with this ID
+// may have been executed, by this process or another one. releaseIfEnded withdraws the claim if the request was not executed.
+func (l *Loop) claimID(req *request) bool {
+	class := &req.exchange.Settings.Classes[req.exchange.Request.Class]
+	if class.Idempotency == balance.Idempotent {
+		return true
+	}
+	req.idClaimed = l.executedIDs.Claim(req.exchange.TraceID)
+	return req.idClaimed
+}
+
 // handleUploadSent starts the deadline of a request after the last byte of its long body has been sent.
 func (l *Loop) handleUploadSent(ev uploadSent) {
 	attempt := ev.attempt
--- a/internal/eventloop/attemptend.go
+++ b/internal/eventloop/attemptend.go
@@ -10,6 +10,9 @@
 	ev.attempt.Cancel()
 	req := l.requests.byID[ev.attempt.RequestID]
 	req.attempts.markEnded()
+	if !ev.outcome.Incomplete && !ev.outcome.Result.NeverExecuted() {
+		req.mayHaveRun = true
+	}
 	duration := ev.attempt.StreamLatency
 	if duration > 0 {
 		l.finishStream(req, ev.outcome.Result)
--- a/internal/eventloop/finish.go
+++ b/internal/eventloop/finish.go
@@ -49,6 +49,9 @@
 func (l *Loop) releaseIfEnded(req *request) {
 	if req.canRelease() {
 		l.requests.remove(req)
+		if req.idClaimed && !req.mayHaveRun {
+			l.executedIDs.Withdraw(req.exchange.TraceID)
+		}
 		req.release()
 	}
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -10,6 +10,7 @@
 	"cindersaddle/internal/config"
 	"cindersaddle/internal/discovery"
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/idregistry"
 	"cindersaddle/internal/metrics"
 	"cindersaddle/internal/upgrade"
 	"cindersaddle/internal/upstream"
@@ -40,6 +41,7 @@
 	clock               clock
 	timers              timerQueue
 	requests            requestIndex
+	executedIDs         *idregistry.Registry // trace IDs that may have been executed, and must not be executed again
 	endpoints           endpointTable
 	listVersion         listVersion
 	clockOffsets        clockOffsets
@@ -62,6 +64,7 @@
 		settings:            exchange.NewSettings(cfg, registry),
 		clock:               newClock(time.Now()),
 		requests:            newRequestIndex(),
+		executedIDs:         idregistry.New(),
 		endpoints:           newEndpointTable(),
 		discoveryFailureLog: logLimiter{interval: discoveryFailureLogInterval},
 	}
@@ -69,6 +72,9 @@
 	return l
 }
 
+// ShareExecutedIDs sets the registry of trace IDs that this process shares with others. It must be called before Run.
+func (l *Loop) ShareExecutedIDs(registry *idregistry.Registry) { l.executedIDs = registry }
+
 // Attach sets the client that sends attempts to endpoints and the watcher of the endpoint list. It must be called
 // before Run.
 func (l *Loop) Attach(client *upstream.Client, watcher *discovery.Watcher) {
--- a/internal/eventloop/request.go
+++ b/internal/eventloop/request.go
@@ -31,12 +31,14 @@
 // request is an open request of a client: from its arrival until it has its response and no attempt is in flight. Only
 // the methods in this file and in requesttime.go change its state and deadline.
 type request struct {
-	id       balance.RequestID
-	exchange *exchange.Exchange     // nil once released
-	counters *metrics.ClassCounters // of the class under which it arrived
-	attempts attemptSet
-	deadline balance.Milliseconds // when the client gives up; set in stateWaiting
-	state    requestState
+	id         balance.RequestID
+	exchange   *exchange.Exchange     // nil once released
+	counters   *metrics.ClassCounters // of the class under which it arrived
+	attempts   attemptSet
+	deadline   balance.Milliseconds // when the client gives up; set in stateWaiting
+	state      requestState
+	idClaimed  bool // its trace ID is in Loop.executedIDs
+	mayHaveRun bool // an attempt has ended without proof that it was not executed
 	// lateInShutdown means that the request was complete only late in a shutdown (limitLateRequest): its remaining time
 	// is limited, and it gets no streamed response, so that it ends before the process may be killed.
 	lateInShutdown bool
--- a/internal/eventloop/unserved.go
+++ b/internal/eventloop/unserved.go
@@ -18,7 +18,7 @@
 //	case                      response                    function                reason in the log
 //	rejected by the balancer  503, may have Retry-After   rejectRequest           rejected
 //	failed by the balancer    502                         failRequest             failed
-//	trace ID already open     409, connection closed      rejectDuplicate         -
+//	trace ID open or executed 409, connection closed      rejectDuplicate         trace ID open, executed
 //	upload incomplete         RequestError, closed        failIncompleteUpload    -
 //	client disconnected       none                        handleDisconnect        client disconnected
 //	same, found by attempt    none, connection closed     abortRequest            -
@@ -31,6 +31,8 @@
 	reasonFailed             unservedReason = "failed"                // by the balancer: a retry might execute it again
 	reasonClientDisconnected unservedReason = "client disconnected"   // before the client got its response
 	reasonDeadlineExceeded   unservedReason = "deadline exceeded"     // the balancer has not finished the request in time
+	reasonIDOpen             unservedReason = "trace ID open"         // another request with this trace ID is open
+	reasonIDExecuted         unservedReason = "trace ID executed"     // another request with it may have been executed
 	reasonBodyNotSent        unservedReason = "body not sent in time" // the endpoint has not accepted the long body in time
 )
 
@@ -48,10 +50,16 @@
 	l.finishRequest(req, textResponse(http.StatusBadGateway, "failed"))
 }
 
-// rejectDuplicate finishes a request that has the same trace ID as an open request. Endpoints and clients identify a
-// request by its trace ID: if two open requests shared one, each could get the other's response.
-func (l *Loop) rejectDuplicate(req *request) {
-	l.finishRequest(req, closingResponse(http.StatusConflict, "a request of this X-Trace-Id is open"))
+// rejectDuplicate finishes a request that has the same trace ID as an open request, or as one that may have been executed.
+// Endpoints and clients identify a request by its trace ID: if two open requests shared one, each could get the other's
+// response, and a repeated one could be executed twice.
+func (l *Loop) rejectDuplicate(req *request, reason unservedReason) {
+	l.logUnserved(req, slog.LevelInfo, reason)
+	text := "a request of this X-Trace-Id is open"
+	if reason == reasonIDExecuted {
+		text = "a request of this X-Trace-Id may have been executed"
+	}
+	l.finishRequest(req, closingResponse(http.StatusConflict, text))
 }
 
 // failIncompleteUpload finishes a request whose client did not send its long body completely.
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -12,6 +12,7 @@
 	"cindersaddle/internal/downstream"
 	"cindersaddle/internal/eventloop"
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/idregistry"
 	"cindersaddle/internal/memory"
 	"cindersaddle/internal/metrics"
 	"cindersaddle/internal/upstream"
@@ -64,6 +65,7 @@
 	s.memory.SetReclaim(s.upstreamPool.Evict)
 	s.loop = eventloop.New(ctx, cfg, s.state, s.metrics, log)
 	s.loop.SetPredecessorState(resources.predecessorState)
+	s.shareExecutedIDs()
 	s.watcher = discovery.NewWatcher(cfg, s.loop)
 	client := upstream.NewClient(s.upstreamPool, cfg.LoadReportFields, selectHealthCheckPath(cfg), s.metrics)
 	s.loop.Attach(client, s.watcher)
@@ -78,6 +80,20 @@
 	return s
 }
 
+// shareExecutedIDs lets this process and another one, during an upgrade, know which trace IDs may have been executed. If that
+// fails, each process knows only its own.
+func (s *service) shareExecutedIDs() {
+	if s.resources.handover == nil {
+		return
+	}
+	registry, err := idregistry.Open(s.cfg.ScratchDir, s.cfg.Listen)
+	if err != nil {
+		s.log.Info("trace IDs are not shared with another process", "error", err)
+		return
+	}
+	s.loop.ShareExecutedIDs(registry)
+}
+
 // shortenIdleTimeout returns how long the pool keeps an idle connection: idleTimeoutFraction of the endpoints' idle
 // timeout, or 0 if the configuration has no idle timeout. If there is one, it also writes the shortened timeout to cfg,
 // because the balancer must know when the pool closes a connection.
