Detect a client that has left behind unread bytes

Cause: the state of a connection was taken from its next byte, and the end of the connection is behind the bytes of a long body that nobody has read yet.

The kernel is now asked for the end of the connection itself (POLLRDHUP).

--- a/internal/downstream/conn_await.go
+++ b/internal/downstream/conn_await.go
@@ -61,10 +61,13 @@
 	c.responsesFinished++
 }
 
-// CheckClientDisconnected reports whether the client has closed or reset its connection. If a request awaits its
-// response, it first discards the bytes that follow the request, because the end of the stream comes after them;
-// otherwise it discards nothing. It is safe for concurrent use, also with Read.
+// CheckClientDisconnected reports whether the client has closed or reset its connection, also behind unread bytes. If a request
+// awaits its response, it discards the bytes that follow the request, because the end of the stream may wait for room behind
+// them; otherwise it discards nothing. It is safe for concurrent use, also with Read.
 func (c *Conn) CheckClientDisconnected() bool {
+	if socket.PeerClosed(c.TCPConn) {
+		return true
+	}
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
 	state := socket.Peek(c.TCPConn)
--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -85,7 +85,8 @@
 }
 
 // handleDeadlineTimer fails a request that awaits its response after its deadline. The deadline of a long body moves while the
-// client has not written the last byte; its timer is set again then.
+// client has not written the last byte; its timer is set again then. The request ends if its client has left behind bytes that
+// are unread, because net/http does not notice that.
 func (l *Loop) handleDeadlineTimer(req *request) {
 	switch {
 	case !req.awaitsResponse():
@@ -93,6 +94,9 @@
 		if l.clock.now >= req.deadline {
 			l.expireRequest(req, slog.LevelError, reasonDeadlineExceeded)
 		}
+	case req.exchange.Message.ClientDisconnected():
+		l.logUnserved(req, slog.LevelInfo, reasonClientDisconnected)
+		l.finishWithoutBalancer(req, &exchange.Response{Abort: true})
 	case l.clock.now < l.uploadDeadline(req):
 		l.scheduleUploadDeadline(req)
 	default:
--- a/internal/eventloop/unserved.go
+++ b/internal/eventloop/unserved.go
@@ -22,6 +22,7 @@
 //	upload incomplete         RequestError, closed        failIncompleteUpload    -
 //	client disconnected       none                        handleDisconnect        client disconnected
 //	same, found by attempt    none, connection closed     abortRequest            -
+//	same, during an upload    none, connection closed     handleDeadlineTimer     client disconnected
 //	not finished in time      504                         expireRequest           deadline exceeded
 //	long body not sent        504                         expireRequest           body not sent in time
 type unservedReason string
