Expect 409 for a trace ID that was executed, and 200 for a lookup

The test asked that the trace ID of an order that was served be free again, and so that an order that is not safe to repeat be executed twice.

Now it asks for 409 and a single request at the endpoint, and that a lookup may use its trace ID again: four checks instead of three. Fails without the registry (200 instead of 409), passes with it.

--- a/internal/sidecar/request_test.go
+++ b/internal/sidecar/request_test.go
@@ -151,11 +151,11 @@
 	}
 }
 
-// TestDuplicateTraceID checks that a request with the trace ID of a pending request is rejected, that the pending
-// request gets its own response, and that the trace ID can be used again afterwards.
+// TestDuplicateTraceID checks that a request with the trace ID of a pending request is rejected, and that the pending
+// request gets its own response. Afterwards, the trace ID can be used again only by a request that is safe to repeat.
 func TestDuplicateTraceID(t *testing.T) {
 	gate := sidecartest.NewGate()
-	sidecar, _ := startWithEndpoint(t, gate.Hold(sidecartest.Respond(200, "held")), sidecartest.Respond(200, "again"))
+	sidecar, server := startWithEndpoint(t, gate.Hold(sidecartest.Respond(200, "held")), sidecartest.Respond(200, "again"))
 	text := sidecar.rawRequestHead("pay", "Content-Length: 2") + "ab"
 	first, second := sidecar.dial(), sidecar.dial()
 	sidecar.write(first, text)
@@ -169,8 +169,16 @@
 	if body, _ := io.ReadAll(resp.Body); string(body) != "held" {
 		t.Errorf("first request: got body %q, want \"held\"", body)
 	}
-	sidecar.write(first, text) // the first request has ended, so its trace ID is free
-	sidecar.expectResponse(first, "request after the first", http.StatusOK)
+	sidecar.write(first, text) // the first request has ended, but it was executed
+	sidecar.expectResponse(first, "request after the first", http.StatusConflict)
+	if got := len(server.Requests()); got != 1 {
+		t.Errorf("got %d requests at the endpoint, want 1", got)
+	}
+	lookup, reader := sidecar.rawRequestHead("read"), sidecar.dial()
+	for range 2 {
+		sidecar.write(reader, lookup)
+		io.Copy(io.Discard, sidecar.expectResponse(reader, "request that is safe to repeat", http.StatusOK).Body)
+	}
 }
 
 // TestRejectionHasRetryAfter checks that the rejection of a request that was never executed has a Retry-After of at
