Read only the first part of a long response to a health check

A load report is short: now only the first 4 KiB are read, and the connection is not used again after a longer response. The body of any response is given up instead of buffered if there is no memory for it.

TestLongResponseToHealthCheckIsNotBuffered fails without the change (it gets the load report of a response of 60 KiB).

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -114,7 +114,7 @@
 const freeBodyBytes = 4 << 10
 
 // bufferBody reads a body until its end, until it is longer than MaxBufferedBody, or until there is no memory for more of it. In
-// the last two cases it reports that the body must be streamed. Only a response with status 200 is streamed for lack of memory.
+// the last two cases it reports that the body must be streamed.
 func bufferBody(resp *http.Response, observer ResponseObserver) (body []byte, streamed bool, err error) {
 	body = make([]byte, 0, bodyCapacity(0, resp.ContentLength))
 	for {
@@ -123,7 +123,7 @@
 		}
 		if len(body) == cap(body) {
 			grown := bodyCapacity(cap(body), resp.ContentLength)
-			if !observer.ReserveBody(grown-cap(body)) && resp.StatusCode == http.StatusOK {
+			if !observer.ReserveBody(grown - cap(body)) {
 				return body, true, nil
 			}
 			body = append(make([]byte, 0, grown), body...)
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -34,17 +34,24 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.checkPath, *conn.address); err != nil {
 		return failedRoundTrip(balance.ConnectFailed, err)
 	}
-	response, err := conn.reader.Next(http.MethodGet, http1.NopResponseObserver{})
+	response, err := conn.reader.Next(http.MethodGet, healthCheckObserver{})
 	if err != nil {
 		return failedRoundTrip(responseErrorResult(err), err)
 	}
-	return roundTripOutcome{c.healthCheckOutcome(response), conn.reusableAfter(response)}
+	return roundTripOutcome{c.healthCheckOutcome(response), !response.Streaming && conn.reusableAfter(response)}
 }
 
+// healthCheckObserver reserves no memory for the response to a health check, so that only its first part is read: a load report is
+// short. There may be as many health checks at once as endpoints.
+type healthCheckObserver struct{ http1.NopResponseObserver }
+
+// ReserveBody implements http1.ResponseObserver.
+func (healthCheckObserver) ReserveBody(int) bool { return false }
+
 // healthCheckOutcome returns the outcome of a health check. The load report is in the header or the body of the response.
 func (c *Client) healthCheckOutcome(response http1.Response) Outcome {
 	outcome := Outcome{Result: balance.ServerError, LoadReport: loadReportFrom(response.Head, c.loadReportFields)}
-	if outcome.LoadReport == nil {
+	if outcome.LoadReport == nil && !response.Streaming {
 		outcome.LoadReport = parseLoadReport(string(response.Body), c.loadReportFields)
 	}
 	if response.Head.StatusCode == http.StatusOK {
--- a/internal/upstream/health_test.go
+++ b/internal/upstream/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"cindersaddle/balance"
@@ -28,6 +29,22 @@
 	}
 }
 
+// TestLongResponseToHealthCheckIsNotBuffered guards against memory that grows with the number of health checks: of a response that
+// is too long for a load report, only the first part is read, and the connection is not used again.
+func TestLongResponseToHealthCheckIsNotBuffered(t *testing.T) {
+	server := sidecartest.NewScriptedServer(t, sidecartest.Respond(200, "TEXT util=0.5, qps=12"+strings.Repeat(" ", 60<<10)))
+	client := newTestClient(t, testMaxConns)
+	for range 2 {
+		outcome := client.CheckHealth(t.Context(), newEndpoint(server.Addr))
+		if outcome.Result != balance.OK || outcome.LoadReport != nil {
+			t.Errorf("got result %v, load report %v; want %v without a report", outcome.Result, outcome.LoadReport, balance.OK)
+		}
+	}
+	if got := server.ConnCount(); got != 2 {
+		t.Errorf("got %d connections, want 2", got)
+	}
+}
+
 // TestDrainWhileConnectingPreventsHealthCheck checks that no health check is sent to an endpoint that begins to drain
 // while the connection is being opened.
 func TestDrainWhileConnectingPreventsHealthCheck(t *testing.T) {
