--- a/internal/endtoend/harness_test.go
+++ b/internal/endtoend/harness_test.go
@@ -67,9 +67,9 @@
 }
 
 // startEndpoint starts an endpoint. receiveBuffer is the size of its receive buffers in bytes; 0 leaves it to the kernel.
-func startEndpoint(t *testing.T, receiveBuffer int, handle orderHandler) *endpoint {
+func startEndpoint(t testing.TB, receiveBuffer int, handle orderHandler) *endpoint {
 	t.Helper()
-	listener := sidecartest.Listen(t)
+	listener := listen(t)
 	e := &endpoint{address: listener.Addr().String(), handle: handle, orders: map[string]int{}}
 	go func() {
 		for {
@@ -86,6 +86,17 @@
 	return e
 }
 
+// listen opens a listener on a free port, which is closed at the end of the test.
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
 func (e *endpoint) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
@@ -144,7 +155,7 @@
 }
 
 // start starts endpoints and a sidecar, which are stopped at the end of the test.
-func start(t *testing.T, opts options) *setup {
+func start(t testing.TB, opts options) *setup {
 	t.Helper()
 	s := &setup{dir: t.TempDir()}
 	var known []membership.Endpoint
@@ -215,7 +226,7 @@
 }
 
 // freeAddress returns an address on which nothing listens.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	address, err := standin.FreeAddress()
 	if err != nil {
@@ -225,7 +236,7 @@
 }
 
 // settings returns the settings of the tests' configuration file, with the deadlines of the site.
-func settings(t *testing.T) map[string]any {
+func settings(t testing.TB) map[string]any {
 	t.Helper()
 	text, err := os.ReadFile(sidecartest.ConfigPath())
 	if err != nil {
--- a/internal/endtoend/memory_test.go
+++ b/internal/endtoend/memory_test.go
@@ -1,11 +1,14 @@
 package endtoend
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,6 +176,54 @@
 	}
 }
 
+// playAny plays one of the other cases, in turn.
+func playAny(conn net.Conn) {
+	memoryCases[int(playsBegun.Add(1))%len(memoryCases)].play(conn)
+}
+
+// playsBegun counts the calls of playAny.
+var playsBegun atomic.Int64
+
+// respondAny handles an order as one of the other cases does, in turn.
+func respondAny(conn net.Conn, reader *bufio.Reader, order *http.Request) bool {
+	return memoryCases[int(ordersReceived.Add(1))%len(memoryCases)].orders(conn, reader, order)
+}
+
+// ordersReceived counts the calls of respondAny.
+var ordersReceived atomic.Int64
+
+// TestMemoryLimitHoldsWithMixedCrowd guards against plays that need more memory together than each one alone.
+func TestMemoryLimitHoldsWithMixedCrowd(t *testing.T) {
+	const memoryMB, sockets = 32, 1024
+	s := start(t, options{memoryMB: memoryMB, sockets: sockets, orders: respondAny})
+	checkMemoryWithCrowd(t, s, memoryMB, crowd, playAny)
+}
+
+// TestMemoryLimitHoldsForProcessStartedInCrowd guards against a process that passes the limit because all clients come at once
+// while it is starting, after the one before was killed.
+func TestMemoryLimitHoldsForProcessStartedInCrowd(t *testing.T) {
+	const memoryMB, sockets, kills = 32, 1024, 4
+	s := start(t, options{memoryMB: memoryMB, sockets: sockets, orders: respondAny})
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	runCrowd(s.address, crowd, playAny, stop, &running)
+	for range kills {
+		time.Sleep(playTime / kills)
+		if peak, err := s.PeakResidentBytes(); err != nil || float64(peak) > memoryMB*bytesPerMB*maxMemoryFraction {
+			t.Errorf("got a peak of %.1f MiB, error %v", float64(peak)/bytesPerMB, err)
+		}
+		s.Kill()
+		process, err := standin.StartProcess(program, s.dir, s.Config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(process.Kill)
+		s.Process = process
+	}
+	close(stop)
+	running.Wait()
+}
+
 // checkMemoryWithCrowd lets a crowd play beside a well-behaved client and checks the memory and the lookups.
 func checkMemoryWithCrowd(t *testing.T, s *setup, memoryMB float64, clients int, play play) {
 	t.Helper()
