Tell a client that has written everything from one that waits for room

A trace of the clock shows why: 1.2 MiB were missing and the receive buffer was nearly empty, so the client seemed to be able to send. But the kernel, short of memory for buffers, had announced a small window, and the rest waited in the client's send buffer.

While it cannot, or while dropped segments are missing, the times that prove something get longer, as TCP's retransmissions do. If the kernel does not say what is unread, every wait for the client counts, so that no slow client is cut off; a failed poll for the end of a connection means that it is open.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -49,7 +49,9 @@
 	responsesFinished    int64            // count of responses that were written completely
 	trailingBytes        int              // bytes that were discarded while a request awaited its response
 	bytesRead            int64            // bytes that were read and passed on to net/http
-	emptyAt              time.Time        // until when the receive buffer was last empty for exchange.SettleTime; zero: never
+	emptyAt              time.Time        // until when the receive buffer was last empty; zero: never
+	windowKnown          bool             // the kernel has said which window the client sees
+	arrivalUnknown       bool             // the kernel does not say how many bytes are unread
 	upload               *exchange.Upload // the upload of the current request, or nil
 
 	// tracker.mu guards the fields below.
--- a/internal/downstream/conn_read.go
+++ b/internal/downstream/conn_read.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/socket"
 )
 
@@ -70,8 +69,8 @@
 	}
 	var emptySince time.Time
 	waitErr := raw.Read(func(fd uintptr) bool {
-		if !emptySince.IsZero() && time.Since(emptySince) >= exchange.SettleTime {
-			c.noteEmpty(time.Now())
+		if !emptySince.IsZero() {
+			c.noteEmpty(emptySince, time.Now())
 		}
 		var done bool
 		n, done, err = c.tryRead(int(fd), buffer)
--- a/internal/eventloop/upload_test.go
+++ b/internal/eventloop/upload_test.go
@@ -32,10 +32,10 @@
 		ex := newTestExchange(l, time.Now())
 		ex.Request.Uploading, ex.Request.Remaining = true, timeLimit
 		ex.Message.Upload = &exchange.Upload{}
-		ex.Message.Upload.Arrival.NoteEmpty(time.Now())
+		ex.Message.Upload.Arrival.Start(time.Now(), time.Now())
 		if test.complete {
 			ex.Message.Upload = &exchange.Upload{}
-			ex.Message.Upload.Arrival.NoteEmpty(time.Now().Add(-sinceLastByte))
+			ex.Message.Upload.Arrival.Start(time.Now().Add(-sinceLastByte), time.Now())
 			ex.Message.Upload.Arrival.Complete()
 			ex.Message.Upload.Received.Store(true)
 		}
@@ -73,7 +73,7 @@
 		Budget:         &exchange.ReplayBudget{},
 		SetReadTimeout: func(time.Duration) {},
 	}
-	upload.Arrival.NoteEmpty(time.Now())
+	upload.Arrival.Start(time.Now(), time.Now())
 	ex.Message.Upload = upload
 	req := addRequest(l, ex)
 	firstAttemptReader := exchange.NewUploadReader(upload) // the first attempt fails after 5 bytes
--- a/internal/exchange/arrivalclock.go
+++ b/internal/exchange/arrivalclock.go
@@ -13,8 +13,14 @@
 	maxSamples = 128
 )
 
-// SettleTime is how long bytes may take from the send buffer of a client to the receive buffer of the sidecar, if there is room.
-const SettleTime = 20 * time.Millisecond
+const (
+	// deliveryTime is how long bytes may take from one process to another on the same machine.
+	deliveryTime = 20 * time.Millisecond
+	// minRetransmission is the shortest time after which TCP sends bytes again.
+	minRetransmission = 200 * time.Millisecond
+	// backoffFactor is the factor by which that time grows with each attempt.
+	backoffFactor = 2
+)
 
 // UnknownLength is a number of bytes that is not known.
 const UnknownLength = -1
@@ -24,23 +30,28 @@
 // receive buffer of the sidecar and in the send buffer of the client, where the sidecar does not see it.
 //
 // The last byte was certainly not written
-//   - at the end of SettleTime or more in which the receive buffer was empty and the body not complete: what waits in the send
-//     buffer of the client arrives within that time;
 //   - while more bytes were missing than the send buffer of the client can hold, whether the length of the body is known or
 //     they have arrived since;
-//   - at the end of such a time in which the client could send (Arrivals.WindowOpen) and bytes were missing, which is known from
-//     the length of the body, or because more have arrived since.
+//   - at the end of a time in which the receive buffer was empty and the body not complete, or in which the client could send and
+//     bytes were missing, which is known from the length of the body, or because more have arrived since.
+//
+// Such a time must be long enough for the bytes in the send buffer to arrive: see settleTime.
 //
-// The zero value must be given a start with NoteEmpty. It is safe for concurrent use.
+// Start must be called first. The type is safe for concurrent use.
 type ArrivalClock struct {
 	SendBuffer int64 // size of the largest send buffer of a client, in bytes; set before use
 
-	mu        sync.Mutex
-	earliest  time.Time
-	complete  bool
-	samples   []arrivalSample // oldest first
-	openSince time.Time       // since when the window is open; zero: it was closed at the last observation
-	settled   *arrivalSample  // last observation at which the window had been open for SettleTime; nil: none since it was closed
+	mu          sync.Mutex
+	earliest    time.Time
+	complete    bool
+	samples     []arrivalSample // oldest first
+	closedSince time.Time       // when the receive buffer filled up; zero: it has settled since then
+	closedUntil time.Time       // when it was last found full
+	openSince   time.Time       // since when the client can send; zero: it could not at the last observation
+	outOfOrder  uint32          // Arrivals.OutOfOrder of the last observation
+	hole        bool            // dropped segments have not arrived since then
+	arrived     int64           // Arrivals.Arrived of the last observation
+	settled     *arrivalSample  // last observation at which openSince was settleTime ago; nil: none since it was closed
 }
 
 // Arrivals is what is known about a body at a time.
@@ -48,6 +59,9 @@
 	Arrived    int64 // bytes that have arrived, in any way of counting that only grows
 	Missing    int64 // bytes that have not arrived, or UnknownLength
 	WindowOpen bool  // the receive buffer has so much room that the client can send all that it writes
+	// OutOfOrder counts segments that arrived before earlier ones, which were dropped for lack of room. The client sends those
+	// again some time later.
+	OutOfOrder uint32
 }
 
 // arrivalSample is how many bytes had arrived at a time.
@@ -63,11 +77,31 @@
 	return c.earliest
 }
 
-// NoteEmpty records that the receive buffer was empty for SettleTime until the given time, and that the body was not complete.
-func (c *ArrivalClock) NoteEmpty(at time.Time) {
+// Start records that the last byte was not written before emptyAt, and that nobody has observed what arrived between emptyAt and
+// now.
+func (c *ArrivalClock) Start(emptyAt, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(emptyAt)
+	if now.Sub(emptyAt) >= deliveryTime {
+		c.closedSince, c.closedUntil = emptyAt, now
+	}
+}
+
+// NoteEmpty records that the receive buffer was empty from a time until another one, and that the body was not complete.
+func (c *ArrivalClock) NoteEmpty(from, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.Sub(from) >= c.settleTime() {
+		c.advance(until)
+	}
+}
+
+// NoteWait records that the client had to be waited for until the given time, if nothing else is known.
+func (c *ArrivalClock) NoteWait(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.advance(at)
+	c.advance(until)
 }
 
 // Complete records that the body has arrived completely: the result does not change any more.
@@ -99,16 +133,21 @@
 
 // observeWindow moves the result if the client could send and has not. The caller holds mu.
 func (c *ArrivalClock) observeWindow(now time.Time, body Arrivals) {
-	if !body.WindowOpen {
-		c.openSince, c.settled = time.Time{}, nil
+	c.observeHole(body)
+	if !body.WindowOpen || c.hole {
+		if c.closedSince.IsZero() {
+			c.closedSince = now
+		}
+		c.closedUntil, c.openSince, c.settled = now, time.Time{}, nil
 		return
 	}
 	if c.openSince.IsZero() {
 		c.openSince = now
 	}
-	if now.Sub(c.openSince) < SettleTime {
+	if now.Sub(c.openSince) < c.settleTime() {
 		return
 	}
+	c.closedSince, c.closedUntil = time.Time{}, time.Time{}
 	if c.settled != nil && body.Arrived > c.settled.arrived {
 		c.advance(c.settled.at)
 	}
@@ -118,6 +157,27 @@
 	c.settled = &arrivalSample{at: now, arrived: body.Arrived}
 }
 
+// observeHole determines whether dropped segments are missing. They have arrived when more bytes have, in order, without any new
+// drop. The caller holds mu.
+func (c *ArrivalClock) observeHole(body Arrivals) {
+	if body.OutOfOrder != c.outOfOrder {
+		c.hole = true
+	} else if body.Arrived > c.arrived {
+		c.hole = false
+	}
+	c.outOfOrder, c.arrived = body.OutOfOrder, body.Arrived
+}
+
+// settleTime returns how long bytes may take from the send buffer of the client to the receive buffer, once there is room: hardly
+// any time, unless the receive buffer was full. The kernel drops bytes then, and the client sends them again after times that
+// double with each attempt. The caller holds mu.
+func (c *ArrivalClock) settleTime() time.Duration {
+	if c.closedSince.IsZero() {
+		return deliveryTime
+	}
+	return minRetransmission + backoffFactor*c.closedUntil.Sub(c.closedSince)
+}
+
 // addSample adds a sample, unless the last one is recent. The caller holds mu.
 func (c *ArrivalClock) addSample(now time.Time, arrived int64) {
 	last := len(c.samples) - 1
--- a/internal/exchange/arrivalclock_test.go
+++ b/internal/exchange/arrivalclock_test.go
@@ -20,7 +20,7 @@
 			c.Observe(at(5), Arrivals{Arrived: 10, Missing: 900})
 		}, start},
 		"waiting for the client": {func(c *ArrivalClock) {
-			c.NoteEmpty(at(4))
+			c.NoteEmpty(at(3), at(4))
 		}, at(4)},
 		"more is missing than the client's buffer holds": {func(c *ArrivalClock) {
 			c.Observe(at(1), Arrivals{Arrived: 10, Missing: 5000})
@@ -37,6 +37,26 @@
 			c.Observe(at(2), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true})
 			c.Observe(at(3), Arrivals{Arrived: 10, Missing: 5})
 		}, at(2)},
+		"empty after the buffer was full for long": {func(c *ArrivalClock) {
+			c.Observe(at(1), Arrivals{Arrived: 10, Missing: 5})
+			c.Observe(at(5), Arrivals{Arrived: 10, Missing: 5})
+			c.NoteEmpty(at(6), at(10))
+		}, start},
+		"empty for longer than that": {func(c *ArrivalClock) {
+			c.Observe(at(1), Arrivals{Arrived: 10, Missing: 5})
+			c.Observe(at(5), Arrivals{Arrived: 10, Missing: 5})
+			c.NoteEmpty(at(6), at(15))
+		}, at(15)},
+		"a segment was dropped": {func(c *ArrivalClock) {
+			c.Observe(at(1), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true, OutOfOrder: 1})
+			c.Observe(at(2), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true, OutOfOrder: 1})
+			c.Observe(at(3), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true, OutOfOrder: 1})
+		}, start},
+		"a dropped segment has arrived long ago": {func(c *ArrivalClock) {
+			c.Observe(at(1), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true, OutOfOrder: 1})
+			c.Observe(at(2), Arrivals{Arrived: 11, Missing: 4, WindowOpen: true, OutOfOrder: 1})
+			c.Observe(at(4), Arrivals{Arrived: 11, Missing: 4, WindowOpen: true, OutOfOrder: 1})
+		}, at(4)},
 		"the client can send only for a moment": {func(c *ArrivalClock) {
 			c.Observe(at(1), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true})
 			c.Observe(at(2), Arrivals{Arrived: 10, Missing: 5})
@@ -49,19 +69,19 @@
 			c.Observe(at(4), Arrivals{Arrived: 11, Missing: UnknownLength, WindowOpen: true})
 		}, at(2)},
 		"wait after the end of the body": {func(c *ArrivalClock) {
-			c.NoteEmpty(at(1))
+			c.NoteEmpty(at(0), at(1))
 			c.Complete()
-			c.NoteEmpty(at(2))
+			c.NoteEmpty(at(1), at(2))
 			c.Observe(at(3), Arrivals{Arrived: 10, Missing: 5000})
 		}, at(1)},
 		"last byte in the receive buffer": {func(c *ArrivalClock) {
-			c.NoteEmpty(at(1))
+			c.NoteEmpty(at(0), at(1))
 			c.Observe(at(2), Arrivals{Arrived: 10, Missing: 0})
-			c.NoteEmpty(at(3))
+			c.NoteEmpty(at(2), at(3))
 		}, at(1)},
 	} {
 		clock := &ArrivalClock{SendBuffer: sendBuffer}
-		clock.NoteEmpty(start)
+		clock.Start(start, start)
 		test.events(clock)
 		if got := clock.EarliestLastByte(); !got.Equal(test.want) {
 			t.Errorf("%s: got %v after the start, want %v", name, got.Sub(start), test.want.Sub(start))
@@ -75,7 +95,7 @@
 	const sendBuffer, perStep, steps = 100_000, 10, 20_000
 	start := time.Now()
 	clock := &ArrivalClock{SendBuffer: sendBuffer}
-	clock.NoteEmpty(start)
+	clock.Start(start, start)
 	for step := range steps {
 		clock.Observe(start.Add(time.Duration(step)*sampleInterval), Arrivals{Arrived: int64(step * perStep), Missing: UnknownLength})
 		if len(clock.samples) > maxSamples {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -12,15 +12,17 @@
 
 // The kinds of system calls that can fail.
 const (
-	Peek      Call = "peek"      // recv with MSG_PEEK
-	Read      Call = "read"      // read from a client's connection
-	Write     Call = "write"     // write to a client's connection
-	Receive   Call = "receive"   // read from an endpoint's connection
-	Send      Call = "send"      // write to an endpoint's connection
-	SendQueue Call = "sendqueue" // ioctl for the unacknowledged bytes of a connection
-	Accept    Call = "accept"    // accept a connection
-	Duplicate Call = "duplicate" // duplicate the descriptor of an accepted connection
-	Connect   Call = "connect"   // connect to an endpoint
-	ReadFile  Call = "readfile"  // read the configuration file
-	Log       Call = "log"       // write to the log
+	Peek         Call = "peek"         // recv with MSG_PEEK
+	Read         Call = "read"         // read from a client's connection
+	Write        Call = "write"        // write to a client's connection
+	Receive      Call = "receive"      // read from an endpoint's connection
+	Send         Call = "send"         // write to an endpoint's connection
+	SendQueue    Call = "sendqueue"    // ioctl for the unacknowledged bytes of a connection
+	ReceiveQueue Call = "receivequeue" // ioctl for the unread bytes of a connection
+	PollPeer     Call = "pollpeer"     // poll for the end of a connection
+	Accept       Call = "accept"       // accept a connection
+	Duplicate    Call = "duplicate"    // duplicate the descriptor of an accepted connection
+	Connect      Call = "connect"      // connect to an endpoint
+	ReadFile     Call = "readfile"     // read the configuration file
+	Log          Call = "log"          // write to the log
 )
--- a/internal/socket/peerclosed.go
+++ b/internal/socket/peerclosed.go
@@ -4,6 +4,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"cindersaddle/internal/fault"
 )
 
 // peerClosedEvents are the events of poll that show that the peer has closed its side of the connection or reset it.
@@ -17,11 +19,28 @@
 		return false
 	}
 	closed := false
-	raw.Control(func(fd uintptr) { // fails if this side has closed the connection
-		descriptors := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		if count, err := unix.Poll(descriptors, 0); err == nil && count > 0 {
-			closed = descriptors[0].Revents&peerClosedEvents != 0
-		}
-	})
+	raw.Control(func(fd uintptr) { closed = peerClosedDescriptor(int32(fd)) }) // fails if this side has closed the connection
 	return closed
 }
+
+// peerClosedDescriptor is PeerClosed for a descriptor. An interrupted call is repeated.
+func peerClosedDescriptor(fd int32) bool {
+	for {
+		descriptors := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+		switch count, err := pollOnce(descriptors); {
+		case err == syscall.EINTR:
+			continue
+		case err != nil || count == 0:
+			return false
+		}
+		return descriptors[0].Revents&peerClosedEvents != 0
+	}
+}
+
+// pollOnce makes one call of poll, which does not wait.
+func pollOnce(descriptors []unix.PollFd) (count int, err error) {
+	if err := fault.InjectedError(fault.PollPeer); err != nil {
+		return 0, err
+	}
+	return unix.Poll(descriptors, 0)
+}
