Count a client of the soak that leaves within a response head as disconnected

The stand-in closed its own connection while it read the head, and net/http reports the incomplete line ("missing colon") instead of the deadline. The rule stays as it is; a response that is cut before the client's time still breaks it.

--- a/internal/standin/exchange.go
+++ b/internal/standin/exchange.go
@@ -54,13 +54,13 @@
 	}
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodGet})
 	if err != nil {
-		e.setOutcome(outcomeOfPartialResponse(err), err)
+		e.setOutcome(e.outcomeOfPartialResponse(err), err)
 		return false
 	}
 	e.Status = response.StatusCode
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		e.setOutcome(outcomeOfPartialResponse(err), err)
+		e.setOutcome(e.outcomeOfPartialResponse(err), err)
 		return false
 	}
 	e.Outcome = outcomeOfStatus(response.StatusCode)
@@ -90,10 +90,16 @@
 	return ExchangeTimedOut
 }
 
+// hasDisconnected reports whether the time has come at which the client disconnects.
+func (e *Exchange) hasDisconnected() bool {
+	return e.DisconnectAfter > 0 && time.Since(e.SentAt) >= e.DisconnectAfter
+}
+
 // outcomeOfPartialResponse returns the outcome of an exchange with only part of a response, by the error of the read.
-// If the deadline of the read passes, the client disconnects, as the response may never end.
-func outcomeOfPartialResponse(err error) ExchangeOutcome {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+// If the deadline of the read passes, the client disconnects, as the response may never end. Within a head, package net/http
+// reports the incomplete line instead of the deadline.
+func (e *Exchange) outcomeOfPartialResponse(err error) ExchangeOutcome {
+	if errors.Is(err, os.ErrDeadlineExceeded) || e.hasDisconnected() {
 		return ExchangeClientDisconnected
 	}
 	return ExchangeTruncated
