Leave no more than an eighth of the memory limit for another process

Cause: the memory kept free for the other process of an upgrade left room for only 250 client connections, 14 MiB of 32 unused.

At most an eighth of the limit is kept free now.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -29,8 +29,10 @@
 	// heldFraction is the fraction of the rest that may be held for peers. The other part is for garbage that has not been
 	// collected yet, and for fragmentation.
 	heldFraction = 0.75
-	// successorBytes is what a process leaves for another one that starts beside it and does not serve yet.
-	successorBytes = mappedBytes + idleBytes
+	// successorBytes is what a process leaves for another one that starts beside it and does not serve yet, but no more than
+	// successorFraction of the memory limit, so that it can serve enough clients with the least memory.
+	successorBytes    = mappedBytes + idleBytes
+	successorFraction = 0.125
 	// startDivisor divides what a process may hold while its predecessor may hold more than its share.
 	startDivisor = 4
 	// minProcessBytes is the least that a process gets for the runtime, and the least that it may hold.
@@ -82,7 +84,7 @@
 func (l Limits) unmappedBytes(share MemoryShare) int64 {
 	bytes := l.shareOf(residentFraction, share.Processes) - mappedBytes
 	if share.Upgradable && share.Processes == 1 {
-		bytes -= successorBytes
+		bytes -= min(successorBytes, l.shareOf(successorFraction, 1))
 	}
 	return max(minProcessBytes, bytes)
 }
--- a/internal/endtoend/memory_test.go
+++ b/internal/endtoend/memory_test.go
@@ -176,6 +176,14 @@
 	}
 }
 
+// TestUpgradableSidecarServesCrowd guards against turning clients away because memory is kept free for the other process of an
+// upgrade.
+func TestUpgradableSidecarServesCrowd(t *testing.T) {
+	const memoryMB, sockets = 32, 1024
+	s := start(t, options{memoryMB: memoryMB, sockets: sockets, orders: respondAny, upgradable: true})
+	checkMemoryWithCrowd(t, s, memoryMB, crowd, playAny)
+}
+
 // playAny plays one of the other cases, in turn.
 func playAny(conn net.Conn) {
 	memoryCases[int(playsBegun.Add(1))%len(memoryCases)].play(conn)
