Return unused memory to the kernel while another process starts

During an upgrade the old process kept what it had freed: the Go runtime returns memory slowly, and one call at the start was too early. It now does so every 250 ms for 3 s.

--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -17,7 +17,7 @@
 	s.limitsMu.Lock()
 	defer s.limitsMu.Unlock()
 	if processes > s.processes && s.processes > 0 {
-		go debug.FreeOSMemory() // the other process needs what this one does not use
+		go returnUnusedMemory()
 	}
 	s.processes = processes
 	if processes > 1 && s.resources.predecessorState != nil && !s.predecessorSettling {
@@ -27,6 +27,22 @@
 	s.applyLimits()
 }
 
+const (
+	// memoryReturnInterval is the time between two times at which unused memory is returned to the kernel.
+	memoryReturnInterval = 250 * time.Millisecond
+	// memoryReturns is how often that is done after another process has started.
+	memoryReturns = 12
+)
+
+// returnUnusedMemory returns unused memory to the kernel while this process ends what it has taken on, because the other process
+// of an upgrade needs it. The Go runtime would do so later.
+func returnUnusedMemory() {
+	for range memoryReturns {
+		debug.FreeOSMemory()
+		time.Sleep(memoryReturnInterval)
+	}
+}
+
 // endPredecessorSettling gives this process its full share of memory.
 func (s *service) endPredecessorSettling() {
 	s.limitsMu.Lock()
