Count the time for which a long body waits for memory only once

A long body that waited for memory before its first part was read lost that time twice: from the remaining time of the request, and by the clock of the upload, which starts when the receive buffer was last empty. Found by reading; the remaining time of an upload counts from the clock alone now.

--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/http1"
@@ -28,6 +29,10 @@
 		}
 		return nil, err
 	}
+	receivedAt := required.receivedAt()
+	if upload != nil {
+		receivedAt = time.Now() // the clock of the upload counts the time before
+	}
 	balancerRequest.Uploading = upload != nil
 	message := newMessage(r, body, upload, conn)
 	message.Memory = required.reservation
@@ -35,7 +40,7 @@
 		TraceID:    traceID,
 		Request:    balancerRequest,
 		Message:    message,
-		ReceivedAt: required.receivedAt(),
+		ReceivedAt: receivedAt,
 		Responses:  make(chan *exchange.Response, 1),
 		Settings:   settings,
 		Memory:     required.reservation,
