Ask for the end of a client connection only behind unread bytes

The check before each attempt made a system call more than needed: a connection without unread bytes shows its end to Peek. TestDisconnectBehindUnreadBytesIsDetected passes as before; TestUnknownStateIsNotADisconnect now has unread bytes, so that it reaches the call that fails.

--- a/internal/downstream/conn_await.go
+++ b/internal/downstream/conn_await.go
@@ -65,15 +65,18 @@
 // awaits its response, it discards the bytes that follow the request, because the end of the stream may wait for room behind
 // them; otherwise it discards nothing. It is safe for concurrent use, also with Read.
 func (c *Conn) CheckClientDisconnected() bool {
-	if socket.PeerClosed(c.TCPConn) {
-		return true
-	}
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
 	state := socket.Peek(c.TCPConn)
-	if state != socket.Readable || !c.awaitingResponse {
+	if state != socket.Readable {
 		return state == socket.Closed
 	}
+	if socket.PeerClosed(c.TCPConn) {
+		return true
+	}
+	if !c.awaitingResponse {
+		return false
+	}
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return true
--- a/internal/downstream/faults_arrival_test.go
+++ b/internal/downstream/faults_arrival_test.go
@@ -53,8 +53,9 @@
 			}
 			return nil
 		}})
-		_, accepted := sidecartest.ConnPair(t)
+		client, accepted := sidecartest.ConnPair(t)
 		conn := NewConnTracker(1).Add(accepted)
+		io.WriteString(client, "unread")
 		if conn.CheckClientDisconnected() {
 			t.Errorf("%v: got disconnected, want not", errno)
 		}
