Ask once per check how much of a long body has arrived

Each check of the deadline of a long body, every 100 ms, asked the kernel twice: to compare the deadline with the time, and again to set the next timer. Found by reading the change. The behaviour is the same; tests of internal/eventloop, and TestLongOrderIsAnsweredInTime and TestLivingEndpointGetsLongOrder twice each, pass.

--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -25,7 +25,7 @@
 	req.subtractQueueTime(l.clock.now - l.clock.toMilliseconds(ex.ReceivedAt))
 	l.requests.add(req)
 	if req.isUploading() {
-		l.scheduleUploadDeadline(req)
+		l.scheduleUploadCheck(req, l.uploadDeadline(req))
 	} else {
 		l.startDeadline(req, ex.ReceivedAt)
 	}
@@ -72,9 +72,9 @@
 // uploadCheckInterval is the longest time between two checks of how much of a long body has arrived.
 const uploadCheckInterval balance.Milliseconds = 100
 
-// scheduleUploadDeadline sets a timer for the next check of a request in stateUploading.
-func (l *Loop) scheduleUploadDeadline(req *request) {
-	dueAt := min(l.uploadDeadline(req)+deadlineSlack, l.clock.now+uploadCheckInterval)
+// scheduleUploadCheck sets a timer for the next check of a request in stateUploading, whose deadline is known.
+func (l *Loop) scheduleUploadCheck(req *request, deadline balance.Milliseconds) {
+	dueAt := min(deadline+deadlineSlack, l.clock.now+uploadCheckInterval)
 	l.timers.schedule(timer{dueAt: dueAt, request: req})
 }
 
@@ -97,9 +97,17 @@
 	case req.exchange.Message.ClientDisconnected():
 		l.logUnserved(req, slog.LevelInfo, reasonClientDisconnected)
 		l.finishWithoutBalancer(req, &exchange.Response{Abort: true})
-	case l.clock.now < l.uploadDeadline(req):
-		l.scheduleUploadDeadline(req)
 	default:
-		l.expireRequest(req, slog.LevelInfo, reasonBodyNotSent)
+		l.checkUploadDeadline(req)
 	}
 }
+
+// checkUploadDeadline fails a request in stateUploading after its deadline, and sets its timer again before.
+func (l *Loop) checkUploadDeadline(req *request) {
+	deadline := l.uploadDeadline(req)
+	if l.clock.now < deadline {
+		l.scheduleUploadCheck(req, deadline)
+		return
+	}
+	l.expireRequest(req, slog.LevelInfo, reasonBodyNotSent)
+}
