Draw the golden simulations alike on all processors

The simulations of TestGoldenDecisions drew with rand.ExpFloat64 and rand.Zipf, which use math.Exp and math.Log: their last bits depend on the processor, and so would the recorded hashes.

They now draw with math.Log1p and math.Expm1.

--- a/balance/golden_test.go
+++ b/balance/golden_test.go
@@ -35,6 +35,7 @@
 	resultCount            = int(balance.NotAttempted) + 1
 	eventsBetweenChanges   = 40 // events between two changes of the environment
 	maxRecentRequests      = 30 // requests whose clients may disconnect
+	stickyKeyCount         = 5000
 )
 
 // recordedKinds maps the kinds of actions to the numbers that they had when the golden file was recorded.
@@ -310,7 +311,6 @@
 	slowdown               float64                // factor of all latencies
 	meanInterval           balance.Milliseconds   // mean time between requests at intervalFactor 1
 	intervalFactor         float64                // current factor of meanInterval
-	keys                   *rand.Zipf             // sticky keys
 	removedClasses         []*balance.Class       // no longer configured; some requests still use them
 	nextChangeAtEvent      int                    // event count of the next change of the environment
 	nextReconfigureAtEvent int
@@ -323,7 +323,6 @@
 		now: startTime, byID: map[balance.EndpointID]*simulatedEndpoint{},
 		requests: map[balance.RequestID]*simulatedRequest{}, slowdown: 1, intervalFactor: 1,
 	}
-	s.keys = rand.NewZipf(s.random, 1.2, 2, 5000)
 	s.config = s.drawConfig()
 	s.initialLoadReports, s.initialMaxAttempts = s.config.LoadReports, s.config.MaxAttempts
 	s.meanInterval = s.duration(2, 25)
@@ -345,6 +344,15 @@
 	return low + (high-low)*s.random.Float64()
 }
 
+// exponential draws a number from an exponential distribution with mean 1. It has the same bits on all processors,
+// unlike rand.ExpFloat64, which uses math.Exp and math.Log.
+func (s *simulation) exponential() float64 { return -math.Log1p(-s.random.Float64()) }
+
+// stickyKey draws a sticky key. The key n is about n times as rare as the key 1.
+func (s *simulation) stickyKey() uint64 {
+	return uint64(1 + math.Expm1(s.random.Float64()*math.Log1p(stickyKeyCount)))
+}
+
 // duration draws a span of time from [low, high) milliseconds.
 func (s *simulation) duration(low, high float64) balance.Milliseconds {
 	return balance.Milliseconds(s.uniform(low, high))
@@ -477,7 +485,7 @@
 		}
 		s.now = max(s.now, arrival)
 		s.sendRequest()
-		arrival = s.now + balance.Milliseconds(s.random.ExpFloat64())*s.meanInterval*balance.Milliseconds(s.intervalFactor)
+		arrival = s.now + balance.Milliseconds(s.exponential())*s.meanInterval*balance.Milliseconds(s.intervalFactor)
 	}
 }
 
@@ -573,7 +581,7 @@
 func (s *simulation) drawOutcome(
 	request *simulatedRequest, endpoint *simulatedEndpoint,
 ) (balance.Result, balance.Milliseconds) {
-	factor := balance.Milliseconds(0.05 + 0.2*s.random.ExpFloat64())
+	factor := balance.Milliseconds(0.05 + 0.2*s.exponential())
 	latency := request.class.LatencyObjective * factor * balance.Milliseconds(s.slowdown) *
 		(1 + 0.05*balance.Milliseconds(endpoint.inFlight))
 	if s.now < s.unresponsiveUntil[endpoint.entry.Zone] {
@@ -721,7 +729,7 @@
 		Uploading: s.chance(0.05),
 	}
 	if s.chance(0.7) {
-		event.StickyKey = s.keys.Uint64()
+		event.StickyKey = s.stickyKey()
 	}
 	class := s.config.Classes[event.Class]
 	if len(s.removedClasses) > 0 && s.chance(0.1) {
