Shed load when no attempt is answered in time

Load is shed by the latencies of responses; without responses, their weight decays and shedding ends.

An attempt that times out although no endpoint has responded since it was sent now counts like a rejection by its endpoint, unless only one endpoint has been silent, which may merely hang. The weight of the statistics decays from the last such timeout on.

TestUnansweredAttemptsCauseShedding: without the change 0 of 400 requests are rejected while all endpoints are silent for 20 s (want 250 to 399); with it the bounds hold, one hung endpoint causes no rejection, and 20 s after the end none is left.

--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -25,7 +25,7 @@
 	markedShare  float64              // fraction of requests that are marked as a client's retry
 	retries      bool                 // a client whose request is rejected sends it once more
 	config       balance.Config
-	classWeights []float64 // how often each class occurs; nil: equally often
+	classWeights []float64                                                        // how often each class occurs; nil: equally often
 	slowdown     func(endpoint int, at balance.Milliseconds) balance.Milliseconds // factor of the work; nil: 1
 }
 
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -129,6 +129,7 @@
 	b.responses.startedAt = min(pastTimeOrLongAgo(state.StartedAt, b.now), b.now)
 	b.responses.countedAt = pastTimeOrLongAgo(state.ResponsesCountedAt, b.now)
 	b.latency.lastResponseAt = pastTimeOrLongAgo(state.LastResponseAt, b.now)
+	b.latency.lastSampleAt = b.latency.lastResponseAt
 }
 
 func (b *Balancer) importStatistics(state *LearnedState) {
--- a/balance/latencystats.go
+++ b/balance/latencystats.go
@@ -40,6 +40,8 @@
 	ratioSamples   float64      // samples of meanRatio, up to averagingSamples
 	minRatio       float64      // lowest value of meanRatio: the latency without queueing
 	lastResponseAt Milliseconds // when the last response arrived
+	lastSampleAt   Milliseconds // when the last response or timeout was counted
+	silentEndpoint *endpoint    // where the last attempt timed out without a response; nil: one arrived
 }
 
 // newLatencyStats returns statistics without samples, which assume initialLatencyRatio.
@@ -52,6 +54,8 @@
 // recordResponse adds the latency of a response relative to the time limit. gain is its weight in the mean.
 func (s *latencyStats) recordResponse(now Milliseconds, latencyRatio, gain float64) {
 	s.lastResponseAt = now
+	s.lastSampleAt = now
+	s.silentEndpoint = nil
 	s.ratioSamples = min(s.ratioSamples+1, averagingSamples)
 	difference := min(latencyRatio, maxLatencyRatio) - s.meanRatio
 	s.meanRatio += difference * gain
@@ -61,6 +65,20 @@
 	}
 }
 
+// recordTimeout adds an attempt that timed out. gain is its weight. If no endpoint has responded in the
+// meantime and another one has been silent, too, no attempt is answered in time: the attempt then counts like
+// a rejection. A single silent endpoint may merely hang.
+func (s *latencyStats) recordTimeout(now Milliseconds, attempt *attempt, gain float64) {
+	if s.lastResponseAt >= attempt.sentAt {
+		return
+	}
+	if s.silentEndpoint != nil && s.silentEndpoint != attempt.endpoint {
+		s.lastSampleAt = now
+		s.recordRejection(gain)
+	}
+	s.silentEndpoint = attempt.endpoint
+}
+
 // recordRejection adds an attempt that its endpoint rejected. A rejection indicates overload, so it counts
 // like a response with maxLatencyRatio.
 func (s *latencyStats) recordRejection(gain float64) {
@@ -78,11 +96,11 @@
 func (s *latencyStats) queueingRatio() float64 { return s.minRatio + queueingAllowance*(1-s.minRatio) }
 
 // recency returns the weight of the statistics, which decays from 1 to 0 with the time since the last
-// response. Without the decay, a sidecar that sheds all of its load would never detect the end of an
+// sample. Without the decay, a sidecar that sheds all of its load would never detect the end of an
 // overload.
 func (s *latencyStats) recency(now, longestObjective Milliseconds) float64 {
 	timeConstant := max(responseRateObjectives*longestObjective, minRecencyTimeConstant)
-	return decay(now-s.lastResponseAt, timeConstant)
+	return decay(now-s.lastSampleAt, timeConstant)
 }
 
 // recentRatio returns the mean ratio of latency to time limit, which moves to the lowest one as recency, the
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -50,6 +50,10 @@
 
 // recordFailure updates all statistics with a failed attempt.
 func (b *Balancer) recordFailure(attempt *attempt, result Result) {
+	if result == TimedOut {
+		b.decayResponseCounts()
+		b.latency.recordTimeout(b.now, attempt, b.averagingGain())
+	}
 	if result == TimedOut && !attempt.overdue { // the client's timeout was shorter than usual latencies
 		return
 	}
--- a/balance/overload_test.go
+++ b/balance/overload_test.go
@@ -195,7 +195,7 @@
 func TestSheddingDecaysOverTime(t *testing.T) {
 	h := newHarness(t, baseConfig(), newEndpoints(12)...)
 	h.b.shedder.steadyFraction = 0.95
-	h.b.latency.meanRatio, h.b.latency.lastResponseAt = 0.55, h.now
+	h.b.latency.meanRatio, h.b.latency.lastSampleAt = 0.55, h.now
 	rejected := 0
 	for range 20 {
 		h.now += 1000
@@ -238,3 +238,65 @@
 			rejected)
 	}
 }
+
+// If no attempt at any endpoint is answered before its client gives up, there are no latencies from which an overload
+// could be seen. Most requests must then be rejected, because further attempts only keep the endpoints busy with work
+// for which nobody waits, and the rejections must end when the endpoints respond again. A single endpoint that hangs
+// must cause none.
+func TestUnansweredAttemptsCauseShedding(t *testing.T) {
+	for _, test := range []struct {
+		name                     string
+		silent                   EndpointID // endpoints with IDs up to this do not respond
+		minRejected, maxRejected int
+	}{
+		{"all silent", 12, 250, 399},
+		{"one hangs", 1, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, baseConfig(), newEndpoints(12)...)
+			ends := map[RequestID]Milliseconds{}
+			step := func(silent EndpointID) (rejected bool) {
+				h.now += 50
+				for _, timer := range h.dueTimers() {
+					h.dispatch(timer)
+				}
+				for id := RequestID(1); id <= h.lastRequest; id++ {
+					end, inFlight := ends[id]
+					if !inFlight || h.now < end {
+						continue
+					}
+					delete(ends, id)
+					req, result := h.b.requests[id], OK
+					if end == req.deadline {
+						result = TimedOut
+					}
+					h.finishAttempt(id, 0, result, end-req.arrivedAt)
+				}
+				id, actions := h.request(globalKeyClass)
+				target, sent := sendTarget(actions)
+				if sent && target <= silent {
+					ends[id] = h.b.requests[id].deadline
+				} else if sent {
+					ends[id] = h.now + 40
+				}
+				return !sent
+			}
+			count := func(silent EndpointID) (rejected int) {
+				for range 400 { // 20 s
+					if step(silent) {
+						rejected++
+					}
+				}
+				return rejected
+			}
+			count(0)
+			if rejected := count(test.silent); rejected < test.minRejected || rejected > test.maxRejected {
+				t.Errorf("got %d of 400 rejected, want %d to %d", rejected, test.minRejected, test.maxRejected)
+			}
+			count(0) // the endpoints respond again
+			if rejected := count(0); rejected > 0 {
+				t.Errorf("20 s after the endpoints responded again: got %d of 400 rejected, want none", rejected)
+			}
+		})
+	}
+}
