Admit first tries and clients' retries alike

Cause: a request that can only be answered after the latency objective of its first try "earns" the late weight, and was rejected before others.

The rule is gone, and with it every use of the mark and of the late weight. The tests of the rule (TestLateRetriesAreRejectedFirst, TestShortDeadlineFirstAttemptsAreServed) asserted what was wrong; in their place, TestFirstTriesAndRetriesAreAdmittedAlike asserts seven cases with 1,000 requests each, among them all of theirs. Without the change 4 of the 7 fail: 1,000 of 1,000 rejected.

--- a/balance/config.go
+++ b/balance/config.go
@@ -34,7 +34,8 @@
 	Deadline Milliseconds
 	// PriorityWeight is what a response within the latency objective earns.
 	PriorityWeight float64
-	// LateWeight is the fraction of PriorityWeight that a response after the latency objective earns.
+	// LateWeight is what a response after the latency objective is worth, as a fraction of PriorityWeight. It
+	// is not used in decisions.
 	LateWeight float64
 	// Streaming is set if responses are streams. It is not used in decisions.
 	Streaming bool
@@ -80,7 +81,7 @@
 	OverQuotaWeight float64 // fraction of its priority that a request beyond its tenant's quota has
 
 	MinBatchInterval    Milliseconds // shortest time between two batches of events
-	ClientRetriesMarked bool         // clients mark their retries, so that Request.ClientRetry is reliable
+	ClientRetriesMarked bool         // clients mark their retries. Not used in decisions
 	KeyCaching          bool         // an endpoint does less work for a key that it served recently
 
 	PolledDiscovery  bool           // the endpoint list is polled, not watched
--- a/balance/events.go
+++ b/balance/events.go
@@ -55,7 +55,7 @@
 	WorkHint    float64      // expected work; 0: unknown. Not used in decisions
 	StickyKey   uint64       // requests with the same key prefer the same endpoints; 0: no key
 	Remaining   Milliseconds // time until the client gives up
-	ClientRetry bool         // the request is marked as a retry by the client
+	ClientRetry bool         // the request is marked as a retry by the client. Not used in decisions
 	Write       bool         // the request changes data. Not used in decisions
 	Uploading   bool         // the body is still arriving; Remaining counts from UploadComplete on
 
--- a/balance/loadshedding.go
+++ b/balance/loadshedding.go
@@ -26,9 +26,6 @@
 	// grows by this much per unit of slowdown, up to 1. The slowdown is the recent latency ratio minus the
 	// shed threshold, divided by the threshold.
 	overdueLoadGain = 4
-	// originalRequestTimeoutFraction is the least fraction of the longest timeout of a class with which
-	// a request counts as an original request, not as a client's retry.
-	originalRequestTimeoutFraction = 0.99
 )
 
 // loadShedder computes the fraction of the load that is shed: a steady fraction that follows the overload
@@ -57,11 +54,6 @@
 func (b *Balancer) admit(req *request) bool {
 	excessRatio := b.excessRatio()
 	b.shedder.updateSteadyFraction(b.now, b.longestObjective, excessRatio)
-	// A late retry earns at most the fraction LateWeight. It is rejected once that fraction of the load is
-	// shed.
-	if b.isLateRetry(req) && b.shedder.steadyFraction >= req.class.LateWeight {
-		return false
-	}
 	shedFraction := b.shedder.shedFraction(excessRatio)
 	return shedFraction == 0 || b.random.next() >= b.shedProbability(req, shedFraction)
 }
@@ -91,14 +83,3 @@
 	priorLoad := priorRatio * shedPriorResponses / responseRateObjectives / float64(b.longestObjective)
 	return (b.totalRequiredRate() + overdueLoad + priorLoad) / b.responsesPerMillisecond(shedPriorResponses)
 }
-
-// isLateRetry reports whether a request is probably a client's retry that arrives after the latency objective
-// of the original request: it has less time left than original requests have.
-func (b *Balancer) isLateRetry(req *request) bool {
-	// Where clients mark their retries, an unmarked request with a short timeout is an original one.
-	mayBeRetry := req.ClientRetry || !b.cfg.ClientRetriesMarked
-	if !mayBeRetry || req.Remaining >= req.stats.longestTimeout.scaled(originalRequestTimeoutFraction) {
-		return false
-	}
-	return req.Remaining <= req.class.Deadline-req.class.LatencyObjective
-}
