Judge overloaded endpoints by the client's deadline, alike for each attempt

Callers saw it: where endpoints report their load, a request was refused if its response would come after 0.75 of its latency objective, although its client waited on; and only before its first attempt. A further attempt was sent to the same endpoint however late its response would be, so that a client could wait for nothing and the endpoint did useless work.

An endpoint is now overloaded for an attempt if it would probably respond after the client has given up, whichever attempt of the request it is. The estimate takes a mean absolute deviation more than the mean time for each request in flight, since half of the requests take longer than the mean. An idle endpoint is never overloaded. Before anything has been measured, nothing is refused: the initial estimate, a third of the longest objective, is gone.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -51,7 +51,6 @@
 		checks:    candidateChecks{busyFraction: initialBusyFraction},
 	}
 	b.applyConfig(cfg, nil, nil)
-	b.timePerInFlight = newTimePerInFlight(b.longestObjective)
 	return b
 }
 
--- a/balance/endpointload.go
+++ b/balance/endpointload.go
@@ -96,32 +96,28 @@
 	return float64(ep.load.inFlight)
 }
 
-// overloadedAfterObjectives is the estimated response time, in latency objectives since the arrival of the
-// request, above which an endpoint is overloaded for a first attempt.
-const overloadedAfterObjectives = 0.75
-
-// overloaded reports whether an endpoint would probably respond too late to a first attempt, according to a
-// fresh load report. An overloaded endpoint is picked only if all other candidates with a comparable load are
-// overloaded, too.
+// overloaded reports whether an endpoint would probably not respond to an attempt before the client gives up,
+// according to a fresh load report. An overloaded endpoint is picked only if all other candidates with a
+// comparable load are overloaded, too. An endpoint without requests in flight is never overloaded: no other
+// can respond sooner.
 func (b *Balancer) overloaded(req *request, ep *endpoint) bool {
-	if len(req.attempts) > 0 || !b.hasFreshReport(ep) {
+	if !b.hasFreshReport(ep) {
 		return false
 	}
-	responseAt := b.now + b.timePerInFlight.mean.scaled(b.estimatedInFlight(ep)+1)
-	return responseAt > req.arrivedAt+overloadedAfterObjectives*req.class.LatencyObjective
+	inFlight := b.estimatedInFlight(ep)
+	return inFlight > 0 && b.now+b.timePerInFlight.longTime().scaled(inFlight+1) > req.deadline
 }
 
 // timePerInFlight estimates the time that an endpoint needs for each of its requests in flight: the mean of
 // an attempt's latency divided by the requests in flight at its endpoint, including the attempt.
 type timePerInFlight struct {
-	mean    Milliseconds
-	samples float64 // number of samples, up to averagingSamples; the initial estimate counts as one
+	mean      Milliseconds // 0 without samples: nothing is overloaded
+	deviation Milliseconds // mean absolute deviation
+	samples   float64      // number of samples, up to averagingSamples
 }
 
-// newTimePerInFlight returns the initial estimate.
-func newTimePerInFlight(longestObjective Milliseconds) timePerInFlight {
-	return timePerInFlight{mean: longestObjective.scaled(initialLatencyRatio), samples: 1}
-}
+// longTime returns a time that most requests in flight do not exceed.
+func (t *timePerInFlight) longTime() Milliseconds { return t.mean + t.deviation }
 
 // record adds the latency of an attempt. inFlightBefore is the number of requests in flight at the endpoint
 // before the attempt; the sample is ignored if that is unknownInFlight.
@@ -130,6 +126,9 @@
 		return
 	}
 	t.samples = min(t.samples+1, averagingSamples)
-	sample := latency / Milliseconds(inFlightBefore+1)
-	t.mean += (sample - t.mean) / Milliseconds(t.samples)
+	difference := latency/Milliseconds(inFlightBefore+1) - t.mean
+	t.mean += difference / Milliseconds(t.samples)
+	if t.samples > 1 { // the first sample does not deviate
+		t.deviation += (difference.abs() - t.deviation) / Milliseconds(t.samples)
+	}
 }
--- a/balance/handover.go
+++ b/balance/handover.go
@@ -141,7 +141,7 @@
 	b.shedder.importLearned(state, b.now)
 	b.connectFailures.fraction = validOr(state.ConnectFailureFraction, 0, 1)
 	b.timePerInFlight.mean = validOr(state.TimePerInFlight, b.timePerInFlight.mean, maxImportedDuration)
-	b.timePerInFlight.samples = max(1, validOr(state.TimePerInFlightSamples, 1, averagingSamples))
+	b.timePerInFlight.samples = validOr(state.TimePerInFlightSamples, 0, averagingSamples)
 	b.checks.busyFraction = validOr(state.BusyFraction, b.checks.busyFraction, 1)
 }
 
