Shed by priority with polled load reports, too

Recent latencies now count whichever way reports arrive. A request that is refused because its endpoint is overloaded counts like one that the endpoint rejects, so that the requests of low priority are shed first next time.

TestLowTrafficInstanceShedsByRecentLatency runs with polled reports as well; without the change it rejects 0 of 200 requests whose responses show that others miss the time of their clients (want 20 to 199).

--- a/balance/latencystats.go
+++ b/balance/latencystats.go
@@ -79,8 +79,8 @@
 	s.silentEndpoint = attempt.endpoint
 }
 
-// recordRejection adds an attempt that its endpoint rejected. A rejection indicates overload, so it counts
-// like a response with maxLatencyRatio.
+// recordRejection adds an attempt that its endpoint rejected, or would not have answered in time. This
+// indicates overload, so it counts like a response with maxLatencyRatio.
 func (s *latencyStats) recordRejection(gain float64) {
 	s.meanRatio += (maxLatencyRatio - s.meanRatio) * gain
 }
--- a/balance/loadshedding.go
+++ b/balance/loadshedding.go
@@ -73,13 +73,9 @@
 // about the load.
 func (b *Balancer) expectedLatencyRatio(recency float64) float64 {
 	recentRatio := b.latency.recentRatio(recency)
-	priorRatio := recentRatio
-	if b.cfg.LoadReports == LoadReportsPolled {
-		priorRatio = 0 // overload is detected from the load reports of health checks instead; see overloaded
-	}
 	// While other responses are fast, overdue attempts are not counted as load, because they may be lost.
 	slowdown := recentRatio/b.latency.shedThreshold() - 1
 	overdueLoad := b.load.overdueRate * clamp(overdueLoadGain*slowdown, 0, 1)
-	priorLoad := priorRatio * shedPriorResponses / responseRateObjectives / float64(b.longestObjective)
+	priorLoad := recentRatio * shedPriorResponses / responseRateObjectives / float64(b.longestObjective)
 	return (b.totalRequiredRate() + overdueLoad + priorLoad) / b.responsesPerMillisecond(shedPriorResponses)
 }
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -58,8 +58,7 @@
 		return
 	}
 	if result == Rejected {
-		b.decayResponseCounts()
-		b.latency.recordRejection(b.averagingGain())
+		b.recordOverload()
 	}
 	if result == ConnectFailed {
 		b.recordError(attempt.endpoint, connectError)
@@ -73,3 +72,9 @@
 		b.recordReachable(attempt.endpoint)
 	}
 }
+
+// recordOverload counts an attempt that its endpoint rejected, or would not have answered in time.
+func (b *Balancer) recordOverload() {
+	b.decayResponseCounts()
+	b.latency.recordRejection(b.averagingGain())
+}
--- a/balance/overload_test.go
+++ b/balance/overload_test.go
@@ -40,30 +40,33 @@
 	for latencies, want := range map[[2]Milliseconds][2]int{
 		{60, 60}: {0, 2}, {900, 900}: {0, 2}, {700, 1450}: {20, 199},
 	} {
-		t.Run(fmt.Sprintf("responses of %v ms", latencies), func(t *testing.T) {
-			h := newHarness(t, baseConfig(), newEndpoints(12)...)
-			rejected := 0
-			for range 100 {
-				h.now += 50
-				firstID, _ := h.request(idempotentClass)
-				secondID, _ := h.request(idempotentClass) // at the same time
-				sentAt := h.now
-				for i, id := range []RequestID{firstID, secondID} {
-					req := h.b.requests[id]
-					if req == nil || req.inFlight == 0 {
-						rejected++
-						continue
+		for _, cfg := range []Config{baseConfig(), healthCheckConfig()} {
+			t.Run(fmt.Sprintf("responses of %v ms, health checks %v", latencies, cfg.HealthChecks), func(t *testing.T) {
+				h := newHarness(t, cfg, newEndpoints(12)...)
+				rejected := 0
+				for range 100 {
+					h.now += 50
+					h.b.checks.busyFraction = 1 // so that all endpoints are checked
+					firstID, actions := h.request(idempotentClass)
+					secondID, secondActions := h.request(idempotentClass) // at the same time
+					h.answerHealthChecks(append(actions, secondActions...), 0, nil)
+					sentAt := h.now
+					for i, id := range []RequestID{firstID, secondID} {
+						req := h.b.requests[id]
+						if req == nil || req.inFlight == 0 {
+							rejected++
+							continue
+						}
+						h.now = sentAt + latencies[i]
+						h.finishAttempt(id, 0, OK, latencies[i])
 					}
-					h.now = sentAt + latencies[i]
-					h.finishAttempt(id, 0, OK, latencies[i])
+					h.now = sentAt + latencies[1] + 900
 				}
-				h.now = sentAt + latencies[1] + 900
-			}
-			if rejected < want[0] || rejected > want[1] {
-				t.Errorf("responses of %v ms: got %d of 200 rejected, want %d to %d",
-					latencies, rejected, want[0], want[1])
-			}
-		})
+				if rejected < want[0] || rejected > want[1] {
+					t.Errorf("got %d of 200 rejected, want %d to %d", rejected, want[0], want[1])
+				}
+			})
+		}
 	}
 }
 
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -29,6 +29,7 @@
 		req.awaitChecksUntil = 0 // later health checks of these endpoints do not delay the request again
 		ep := b.pickEndpoint(req, req.nextAttemptKind())
 		if ep != nil && b.overloaded(req, ep) {
+			b.recordOverload()
 			b.rejectOrFail(req)
 			return
 		}
