Wait for an endpoint, and replace a lost attempt, as long as an answer can come in time

Callers saw it: a request that waited for an endpoint was refused once its latency objective had passed, if its client may send it again, although the client waited on and an endpoint could have become ready; and an attempt whose response was lost was no longer replaced. If no endpoint became ready, a request that its client may not repeat was kept until its deadline and then failed.

The wait now ends when an attempt would probably be answered too late: the mean latency of the class is more than the time that the client has left. The request is then refused at once.

TestWaitEndsWhenNoAttemptCanBeAnswered is new: without the change the request is refused after 300 ms, its objective, instead of being sent after 1000 ms, when an endpoint is ready.

--- a/balance/request.go
+++ b/balance/request.go
@@ -96,9 +96,9 @@
 // retryAfterObjectives is the Retry-After time of a rejected request, as a multiple of its latency objective.
 const retryAfterObjectives = 0.1
 
-// rejectOrFail ends a request without a response from an endpoint: load is shed (admit), the picked endpoint
-// is overloaded or the deadline has passed (advanceRequest), or a further attempt is not allowed or not
-// useful (shouldRejectOrFail). The request is rejected with a short Retry-After time if a retry by the client
+// rejectOrFail ends a request without a response from an endpoint: load is shed (admit), no further attempt
+// is allowed (attemptsRuledOut) or would be answered in time (attemptOrGiveUp), or the deadline has passed.
+// The request is rejected with a short Retry-After time if a retry by the client
 // is safe, and failed otherwise.
 func (b *Balancer) rejectOrFail(req *request) {
 	action := Action{Kind: FailRequest, Request: req.ID}
--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -39,6 +39,46 @@
 	}
 }
 
+// A request that waits for an endpoint waits as long as an attempt can still be answered before its client gives up,
+// also after its latency objective of 300 ms. Then it is rejected at once, not at its deadline.
+func TestWaitEndsWhenNoAttemptCanBeAnswered(t *testing.T) {
+	const latency = 100
+	h := newHarness(t, baseConfig(), newEndpoints(1)...)
+	for range 10 {
+		id, _ := h.request(idempotentClass)
+		h.finishAttempt(id, 0, OK, latency)
+	}
+	deadline := h.now + baseConfig().Classes[idempotentClass].Deadline
+	draining := newEndpoints(1)
+	draining[0].State = Draining
+	for _, endpointReturns := range []bool{true, false} {
+		h.dispatch(EndpointUpdate{Kind: UpdateSnapshot, Endpoints: draining})
+		id, _ := h.request(idempotentClass)
+		start := h.now
+		var ending []Action
+		for ending == nil && h.now < deadline {
+			h.now += 5
+			if endpointReturns && h.now >= start+1000 {
+				h.dispatch(EndpointUpdate{Kind: UpdateSnapshot, Endpoints: newEndpoints(1)})
+			}
+			actions := h.dispatch(TimerFired{Token: uint64(id)})
+			if hasAction(actions, SendAttempt) || hasAction(actions, RejectRequest) {
+				ending = actions
+			}
+		}
+		switch waited := h.now - start; {
+		case endpointReturns:
+			if !hasAction(ending, SendAttempt) || waited != 1000 {
+				t.Errorf("endpoint ready after 1000 ms: got %+v after %v ms, want an attempt", ending, waited)
+			}
+			h.finishAttempt(id, 0, OK, latency)
+			h.now, deadline = h.now+latency, h.now+latency+baseConfig().Classes[idempotentClass].Deadline
+		case !hasAction(ending, RejectRequest) || h.now < deadline-latency || h.now > deadline-latency+10:
+			t.Errorf("no endpoint: got %+v after %v ms, want a rejection %v ms before the deadline", ending, waited, latency)
+		}
+	}
+}
+
 // Rounding can make a timer fire slightly early. It must be set again, because otherwise the request would get no
 // final response at its deadline.
 func TestEarlyTimerIsSetAgain(t *testing.T) {
--- a/balance/retrypolicy.go
+++ b/balance/retrypolicy.go
@@ -21,7 +21,7 @@
 	// More retries would multiply the load on an overloaded fleet.
 	maxRetriesExceptResets = 1
 	// maxResetRetries is the maximum number of retries of a request after broken connections. It is higher,
-	// because a broken connection is not a sign of overload. shouldRejectOrFail applies it.
+	// because a broken connection is not a sign of overload. attemptsRuledOut applies it.
 	maxResetRetries = 3
 )
 
@@ -131,7 +131,7 @@
 
 // attemptsExhausted reports whether no further attempt is possible, because of the number of attempts or
 // because an earlier outcome ruled it out (noRetry). It does not apply maxResetRetries; see
-// shouldRejectOrFail.
+// attemptsRuledOut.
 func (req *request) attemptsExhausted() bool {
 	attemptCount := len(req.attempts)
 	if req.noRetry || attemptCount >= req.MaxAttempts {
@@ -162,28 +162,20 @@
 	return true
 }
 
-// shouldRejectOrFail reports whether a request without an attempt in flight is to end now, because no further
-// attempt is allowed or because waiting for an endpoint is useless.
-func (b *Balancer) shouldRejectOrFail(req *request) bool {
-	if req.attemptsExhausted() || req.resetCount() > maxResetRetries || !req.idempotencyAllowsRetry(b.now) {
-		return true
-	}
-	return b.waitingIsUseless(req)
-}
-
-// waitingIsUseless reports whether it is better to reject a request than to wait for an endpoint: the request
-// has missed its latency objective, and the client can safely retry it.
-func (b *Balancer) waitingIsUseless(req *request) bool {
-	return b.now >= req.arrivedAt+req.class.LatencyObjective && req.clientMayRetry()
+// attemptsRuledOut reports whether a request without an attempt in flight can get no further attempt,
+// whichever endpoints are available.
+func (b *Balancer) attemptsRuledOut(req *request) bool {
+	return req.attemptsExhausted() || req.resetCount() > maxResetRetries || !req.idempotencyAllowsRetry(b.now)
 }
 
 // canRetryInTime reports whether the attempt in flight can be cancelled for a retry: a retry is allowed,
-// another endpoint is eligible and not ejected, and its response would probably meet the latency objective.
+// another endpoint is eligible and not ejected, and even a response that is slow for the class would arrive
+// before the client gives up. The attempt in flight may still be answered, so it is not given up for less.
 func (b *Balancer) canRetryInTime(req *request) bool {
 	if req.attemptsExhausted() || !req.idempotencyAllowsRetry(b.now) {
 		return false
 	}
-	if !b.cfg.Cancellation || req.inFlight > 1 || b.wouldMissObjective(req) {
+	if !b.cfg.Cancellation || req.inFlight > 1 || !b.hasTimeForRetry(req) {
 		return false
 	}
 	for _, ep := range b.endpoints.list {
@@ -194,9 +186,13 @@
 	return false
 }
 
-// wouldMissObjective reports whether an attempt sent now would probably miss the latency objective or the
-// deadline.
-func (b *Balancer) wouldMissObjective(req *request) bool {
-	timeLimit := min(req.class.LatencyObjective, req.Remaining)
-	return b.now+req.stats.meanLatency > req.arrivedAt+timeLimit
+// hasTimeForRetry reports whether an attempt sent now would become overdue before the client gives up.
+func (b *Balancer) hasTimeForRetry(req *request) bool {
+	return b.now+b.overdueAfter(req) <= req.deadline
+}
+
+// wouldMissDeadline reports whether the response to an attempt sent now would probably arrive after the
+// client has given up.
+func (b *Balancer) wouldMissDeadline(req *request) bool {
+	return b.now+req.stats.meanLatency > req.deadline
 }
