Tell rejected clients to come back when there is room

The Retry-After time of a rejection was a tenth of the latency objective, whatever the load: 30 ms in the worst overload, 150 ms for a class with an objective of 1500 ms at an endpoint that had rejected one attempt.

It is now the time that the endpoints need to work off what they have in flight beyond the amount at which load is shed, and at least 25 ms.

--- a/balance/loadshedding_test.go
+++ b/balance/loadshedding_test.go
@@ -296,6 +296,38 @@
 	}
 }
 
+// A rejection tells the client to come back when the endpoints have worked off what they have in flight beyond the
+// amount at which load is shed: later the more that is, and the same whatever the latency objective is.
+func TestRetryAfterFollowsLoad(t *testing.T) {
+	const deadline, tolerance = 1500, 50 // setOverload does not count the recent responses
+	for _, objective := range []Milliseconds{100, 300, deadline} {
+		for excess, want := range map[float64]Milliseconds{0: 25, 0.1: 0.1 * deadline, 0.3: 0.3 * deadline} {
+			cfg := baseConfig()
+			cfg.Classes[idempotentClass].LatencyObjective = objective
+			h := newHarness(t, cfg, newEndpoints(4)...)
+			for range 10 {
+				id, _ := h.request(idempotentClass)
+				h.now += 50
+				h.finishAttempt(id, 0, OK, 50)
+			}
+			var retryAfter Milliseconds
+			for retryAfter == 0 {
+				h.setOverload(maxShedFraction/maxMultipleOfSteadyFraction, excess)
+				_, actions := h.request(idempotentClass)
+				for _, action := range actions {
+					if action.Kind == RejectRequest {
+						retryAfter = action.RetryAfter
+					}
+				}
+			}
+			if retryAfter < want || retryAfter > want+tolerance {
+				t.Errorf("objective %v, excess %v of the client's time: got Retry-After %v ms, want %v or little more",
+					objective, excess, retryAfter, want)
+			}
+		}
+	}
+}
+
 // A rejection tells the client when to retry. The delay is at most the longest one that clients respect.
 func TestRejectionSetsRetryAfter(t *testing.T) {
 	cfg := baseConfig()
--- a/balance/request.go
+++ b/balance/request.go
@@ -93,23 +93,28 @@
 	req.tenant.count++
 }
 
-// retryAfterObjectives is the Retry-After time of a rejected request, as a multiple of its latency objective.
-const retryAfterObjectives = 0.1
-
 // rejectOrFail ends a request without a response from an endpoint: load is shed (admit), no further attempt
 // is allowed (attemptsRuledOut) or would be answered in time (attemptOrGiveUp), or the deadline has passed.
-// The request is rejected with a short Retry-After time if a retry by the client
-// is safe, and failed otherwise.
+// The request is rejected if a retry by the client is safe, and failed otherwise.
 func (b *Balancer) rejectOrFail(req *request) {
 	action := Action{Kind: FailRequest, Request: req.ID}
 	if req.clientMayRetry() {
 		action.Kind = RejectRequest
-		action.RetryAfter = min(retryAfterObjectives*req.class.LatencyObjective, b.cfg.MaxRetryAfter)
+		action.RetryAfter = min(b.retryAfter(req), b.cfg.MaxRetryAfter)
 	}
 	b.emit(action)
 	b.finishRequest(req)
 }
 
+// minRetryAfter is the shortest Retry-After time of a rejected request.
+const minRetryAfter Milliseconds = 25
+
+// retryAfter returns when a client should repeat a rejected request: when the endpoints have worked off what
+// they have in flight beyond the amount at which load is shed.
+func (b *Balancer) retryAfter(req *request) Milliseconds {
+	return max(req.stats.timeLimit().scaled(b.excessRatio()), minRetryAfter)
+}
+
 // finishRequest marks a request as finished and cancels its attempts in flight. The request is released once
 // no attempt is in flight.
 func (b *Balancer) finishRequest(req *request) {
