Derive when a first attempt is overdue from the client's time

Before the latencies of a class are known, an attempt was overdue after half of the latency objective, and a waiting request was looked at again 20 times in it. With an objective of 100 ms and a client that waits 1500 ms, an attempt of 51 ms counted as an error of its endpoint; with an objective equal to the deadline, the default if the settings name none, it was noticed too late for another attempt.

An attempt is now overdue after a third of the client's time, which leaves time for another one that takes as long, and a waiting request is looked at again every 25 ms.

TestFirstAttemptsAreOverdueByClientsTime: all four cases fail without the change.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -115,6 +115,7 @@
 	req.noRetry = ev.BodyDiscarded
 	req.Uploading = false
 	req.arrivedAt = b.now
+	req.Remaining = ev.Remaining
 	req.deadline = b.now + ev.Remaining
 	for _, a := range req.attempts {
 		if a.inFlight {
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -6,11 +6,11 @@
 	overdueDeviations = 4
 	// minOverdueSamples is the number of latency samples of the class that this limit requires.
 	minOverdueSamples = 5
-	// defaultOverdueObjectives is the time after which an attempt is overdue while its class has fewer
-	// samples, in latency objectives.
-	defaultOverdueObjectives = 0.5
-	// rechecksPerObjective is the number of times per latency objective that a waiting request is advanced.
-	rechecksPerObjective = 20
+	// defaultOverdueFraction is the fraction of the client's time after which an attempt is overdue while its
+	// class has fewer samples. It leaves time for another attempt that takes as long.
+	defaultOverdueFraction = 1. / 3
+	// recheckInterval is the interval at which a request is advanced while it waits for an endpoint.
+	recheckInterval Milliseconds = 25
 )
 
 // advanceRequest performs the next step of a request: it ends the request, sends an attempt, or sets a timer
@@ -85,7 +85,7 @@
 // latencies of the class, because in an overloaded fleet all attempts are slow.
 func (b *Balancer) overdueAfter(req *request) Milliseconds {
 	if req.stats.latencySamples < minOverdueSamples {
-		return req.class.LatencyObjective * defaultOverdueObjectives
+		return req.Remaining.scaled(defaultOverdueFraction)
 	}
 	return req.stats.meanLatency + overdueDeviations*req.stats.latencyDeviation
 }
@@ -97,14 +97,14 @@
 	if req.awaitChecksUntil > b.now {
 		next = min(next, req.awaitChecksUntil)
 	} else if req.inFlight == 0 {
-		next = min(next, b.now+b.recheckInterval(req))
+		next = min(next, b.now+recheckInterval)
 	}
 	for _, a := range req.attempts {
 		if a.countedAsLoad && !a.overdue {
 			next = min(next, a.sentAt+b.overdueAfter(req))
 		} else if a.inFlight && a.overdue && !a.cancelledAsLost && b.hasTimeForRetry(req) {
 			// The attempt may later be presumed lost (cancelLostAttempts).
-			next = min(next, b.now+b.recheckInterval(req))
+			next = min(next, b.now+recheckInterval)
 		}
 	}
 	if next < req.nextTimerAt {
@@ -113,11 +113,6 @@
 	}
 }
 
-// recheckInterval returns the interval at which a request is advanced while it waits for an endpoint.
-func (b *Balancer) recheckInterval(req *request) Milliseconds {
-	return max(b.cfg.MinBatchInterval, req.class.LatencyObjective/rechecksPerObjective)
-}
-
 // onRequestTimer advances a request when its timer fires. It does not compare nextTimerAt with the current
 // time, because the timer may fire slightly early due to rounding. advanceRequest then sets it again.
 func (b *Balancer) onRequestTimer(id RequestID) {
--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -79,6 +79,30 @@
 	}
 }
 
+// Before the latencies of a class are known, an attempt is overdue after a third of the time that its client waits,
+// which leaves time for another attempt, whatever the latency objective is. A class with an objective equal to its
+// deadline had no time left for one after half of it.
+func TestFirstAttemptsAreOverdueByClientsTime(t *testing.T) {
+	for _, objective := range []Milliseconds{100, 1500} {
+		for _, remaining := range []Milliseconds{600, 1500} {
+			cfg := baseConfig()
+			cfg.Classes[idempotentClass].LatencyObjective = objective
+			h := newHarness(t, cfg, newEndpoints(2)...)
+			start := h.now
+			actions := h.dispatch(Request{ID: 1, Class: idempotentClass, Remaining: remaining})
+			target, _ := sendTarget(actions)
+			for h.b.endpoints.byID[target].outlier.consecutiveErrors == 0 && h.now < start+remaining {
+				h.now = h.b.requests[1].nextTimerAt
+				h.dispatch(TimerFired{Token: 1})
+			}
+			if got := h.now - start; (got - remaining/3).abs() > timerTolerance {
+				t.Errorf("objective %v, client waits %v ms: got the attempt overdue after %v ms, want a third of that time",
+					objective, remaining, got)
+			}
+		}
+	}
+}
+
 // Rounding can make a timer fire slightly early. It must be set again, because otherwise the request would get no
 // final response at its deadline.
 func TestEarlyTimerIsSetAgain(t *testing.T) {
