Check endpoints for as long and as many as the work and the client's time say

Where load reports are polled, a first attempt waits for health checks. How long it waited, when a result was due and how long a report was valid were 0.05 of a latency objective, and the number of checked endpoints was a budget divided by the price of a health check.

A result is now due after the mean duration of health checks and four mean deviations, at least 10 ms, and after 25 ms before any is known. A first attempt waits until then, but not past the time at which an attempt can still be answered before its client gives up. A report is valid until its endpoint responds to about one more request, or until other results are due. The number of checks follows from the busy fraction alone. Its upper bound, 0.7, is chosen so that the number stays about what it was with the price of our site (13); above it no idle endpoint is to be expected.

Since no price switches the checks off any more, they must not draw requests away from the sticky endpoints of a key: only those are checked.

timePerInFlight and the durations of health checks share their estimate (durationestimate.go).

--- a/balance/config.go
+++ b/balance/config.go
@@ -120,5 +120,5 @@
 type Costs struct {
 	CrossZone     float64 // an attempt to an endpoint of another zone
 	NewConnection float64 // a connection that is opened
-	HealthCheck   float64 // a health check
+	HealthCheck   float64 // a health check. Not used in decisions
 }
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -16,8 +16,8 @@
 //   - outlier.go, zoneoutage.go, classhealth.go: which endpoints are avoided, and for how long
 //   - slowstart.go: the limit on attempts to an endpoint that has just started
 //   - healthcheck.go, endpointload.go: how loaded the endpoints are
-//   - capacity.go, latencystats.go, responserate.go, classstats.go, keycounter.go: statistics of requests and
-//     responses; outcome.go updates them with the result of an attempt
+//   - capacity.go, latencystats.go, responserate.go, classstats.go, keycounter.go, durationestimate.go:
+//     statistics of requests and responses; outcome.go updates them with the result of an attempt
 //   - endpointset.go, polling.go: the endpoint list
 //   - reconfigure.go: new settings for a running balancer
 //   - learnedstate.go, handover.go: the learned state that a successor process imports
--- a/balance/endpointload.go
+++ b/balance/endpointload.go
@@ -84,7 +84,13 @@
 	if ep.load.reportedAt <= 0 || b.cfg.LoadReports != LoadReportsPolled {
 		return false
 	}
-	return b.now-ep.load.reportedAt <= reportLifetimeObjectives*b.longestObjective
+	return b.now-ep.load.reportedAt <= b.reportLifetime()
+}
+
+// reportLifetime returns how long a load report is valid: about until the endpoint responds to the next of
+// its requests, but at least until the results of other health checks for the same request are due.
+func (b *Balancer) reportLifetime() Milliseconds {
+	return max(b.timePerInFlight.mean, b.checks.dueAfter())
 }
 
 // estimatedInFlight returns an estimate of an endpoint's requests in flight: those in a fresh load report
@@ -109,26 +115,17 @@
 }
 
 // timePerInFlight estimates the time that an endpoint needs for each of its requests in flight: the mean of
-// an attempt's latency divided by the requests in flight at its endpoint, including the attempt.
-type timePerInFlight struct {
-	mean      Milliseconds // 0 without samples: nothing is overloaded
-	deviation Milliseconds // mean absolute deviation
-	samples   float64      // number of samples, up to averagingSamples
-}
+// an attempt's latency divided by the requests in flight at its endpoint, including the attempt. The mean is
+// 0 without samples: nothing is overloaded then.
+type timePerInFlight struct{ durationEstimate }
 
 // longTime returns a time that most requests in flight do not exceed.
 func (t *timePerInFlight) longTime() Milliseconds { return t.mean + t.deviation }
 
-// record adds the latency of an attempt. inFlightBefore is the number of requests in flight at the endpoint
-// before the attempt; the sample is ignored if that is unknownInFlight.
-func (t *timePerInFlight) record(latency Milliseconds, inFlightBefore float64) {
-	if inFlightBefore < 0 {
-		return
-	}
-	t.samples = min(t.samples+1, averagingSamples)
-	difference := latency/Milliseconds(inFlightBefore+1) - t.mean
-	t.mean += difference / Milliseconds(t.samples)
-	if t.samples > 1 { // the first sample does not deviate
-		t.deviation += (difference.abs() - t.deviation) / Milliseconds(t.samples)
+// recordLatency adds the latency of an attempt. inFlightBefore is the number of requests in flight at the
+// endpoint before the attempt; the sample is ignored if that is unknownInFlight.
+func (t *timePerInFlight) recordLatency(latency Milliseconds, inFlightBefore float64) {
+	if inFlightBefore >= 0 {
+		t.record(latency / Milliseconds(inFlightBefore+1))
 	}
 }
--- a/balance/healthcheck.go
+++ b/balance/healthcheck.go
@@ -6,25 +6,22 @@
 )
 
 const (
-	// healthCheckBudget is the maximum cost of the health checks for one request, in the unit of Costs.
-	healthCheckBudget = 0.03
-	// minHealthCheckCost keeps the number of affordable health checks finite if they have no cost. It
-	// is in the unit of Costs.
-	minHealthCheckCost = 1e-3
-	// reportLifetimeObjectives is how long a load report is valid, as a multiple of the longest latency
-	// objective.
-	reportLifetimeObjectives = 0.05
-	// checkWaitObjectives is how long a first attempt waits for health checks, as a multiple of the latency
-	// objective of its class.
-	checkWaitObjectives = 0.05
-	// checkDueObjectives is the time after which the result of a health check is due, as a multiple of the
-	// longest latency objective.
-	checkDueObjectives = 0.05
+	// checkDueDeviations is the number of mean absolute deviations above the mean duration of health checks
+	// after which a result is due.
+	checkDueDeviations = 4
+	// minCheckSamples is the number of health checks that this limit requires.
+	minCheckSamples = 5
+	// defaultCheckDue is the time after which a result is due before that.
+	defaultCheckDue Milliseconds = 25
+	// minCheckDue is the lower bound of that time. Shorter delays are common on a busy machine.
+	minCheckDue Milliseconds = 10
 	// allBusyProbability is the accepted probability that all checked endpoints are busy.
 	allBusyProbability = 0.01
-	// minBusyFraction and maxBusyFraction keep the logarithm of the busy fraction finite and below 0.
+	// minBusyFraction and maxBusyFraction limit the busy fraction from which the number of health checks is
+	// computed. In a fleet that is busier, no idle endpoint is to be expected, and further health checks
+	// would only load it.
 	minBusyFraction = 0.01
-	maxBusyFraction = 0.99
+	maxBusyFraction = 0.7
 	// initialBusyFraction is the busy fraction that is assumed before there are load reports: all endpoints
 	// are busy.
 	initialBusyFraction = 1
@@ -41,8 +38,17 @@
 
 // candidateChecks holds the state of the health checks that precede first attempts.
 type candidateChecks struct {
-	busyFraction    float64    // recent fraction of load reports with requests in flight
-	waitingRequests []*request // requests that wait for health checks
+	busyFraction    float64          // recent fraction of load reports with requests in flight
+	waitingRequests []*request       // requests that wait for health checks
+	duration        durationEstimate // of successful health checks
+}
+
+// dueAfter returns how long after it was sent the result of a health check is due.
+func (c *candidateChecks) dueAfter() Milliseconds {
+	if c.duration.samples < minCheckSamples {
+		return defaultCheckDue
+	}
+	return max(c.duration.mean+checkDueDeviations*c.duration.deviation, minCheckDue)
 }
 
 // recordReport adds a load report to the busy fraction: 1 if it shows requests in flight, otherwise 0.
@@ -51,22 +57,22 @@
 }
 
 // checkCount returns the number of endpoints to check for a request: enough that one of them is very
-// probably idle, within healthCheckBudget. cost is the cost of one health check.
-func (c *candidateChecks) checkCount(cost float64) int {
-	affordable := healthCheckBudget / max(cost, minHealthCheckCost)
+// probably idle. It is the lowest number for which busyFraction^checkCount is at most allBusyProbability.
+func (c *candidateChecks) checkCount() int {
 	busyFraction := clamp(c.busyFraction, minBusyFraction, maxBusyFraction)
-	// the lowest number of endpoints for which busyFraction^needed is at most allBusyProbability
-	needed := math.Ceil(logarithm(allBusyProbability) / logarithm(busyFraction))
-	return int(min(affordable, needed))
+	return int(math.Ceil(logarithm(allBusyProbability) / logarithm(busyFraction)))
 }
 
 // checkCandidates sends health checks to the endpoints that are next in the rotation before the first attempt
-// of a request, if load reports arrive only with health checks.
+// of a request, if load reports arrive only with health checks. For a request with a sticky key, these are
+// the sticky endpoints of the key.
 func (b *Balancer) checkCandidates(req *request) {
 	if !b.cfg.HealthChecks || b.cfg.LoadReports != LoadReportsPolled {
 		return
 	}
-	for count := b.checks.checkCount(b.cfg.Costs.HealthCheck); len(req.checkedEndpoints) < count; {
+	b.updateWeights(req, excludeEjected)
+	b.restrictToStickyEndpoints(req)
+	for count := b.checks.checkCount(); len(req.checkedEndpoints) < count; {
 		next := b.nextToCheck(req)
 		if next == nil {
 			break
@@ -77,17 +83,18 @@
 		}
 	}
 	if len(req.checkedEndpoints) > 0 {
-		req.awaitChecksUntil = b.now + checkWaitObjectives*req.class.LatencyObjective
+		latestAttemptAt := req.deadline - req.stats.meanLatency // for a response in time
+		req.awaitChecksUntil = min(b.now+b.checks.dueAfter(), latestAttemptAt)
 		b.checks.waitingRequests = append(b.checks.waitingRequests, req)
 	}
 }
 
-// nextToCheck returns the endpoint with the highest rotation credit among those that are eligible, not
-// ejected and not yet checked for the request, or nil if there is none.
+// nextToCheck returns the endpoint with the highest rotation credit among the candidates that are not yet
+// checked for the request, or nil if there is none. Call updateWeights first.
 func (b *Balancer) nextToCheck(req *request) *endpoint {
 	var next *endpoint
 	for _, ep := range b.endpoints.list {
-		if !b.eligibleAndNotEjected(req, ep) || slices.Contains(req.checkedEndpoints, ep) {
+		if ep.candidate.weight == 0 || slices.Contains(req.checkedEndpoints, ep) {
 			continue
 		}
 		if next == nil || ep.rotation.credit > next.rotation.credit {
@@ -113,6 +120,7 @@
 	sentAt := b.now - ev.Duration
 	switch {
 	case ev.Result == OK:
+		b.checks.duration.record(ev.Duration)
 		b.recordLoadReport(ep, ev.LoadReport)
 		if ep.outlier.healthCheckFailed {
 			ep.outlier.clearErrors()
@@ -134,7 +142,7 @@
 // respondedAfterCheckDue reports whether an endpoint has responded after the result of a health check that
 // was sent at checkSentAt was due. Then the endpoint is reachable, even if the result never arrived.
 func (b *Balancer) respondedAfterCheckDue(ep *endpoint, checkSentAt Milliseconds) bool {
-	return ep.activity.lastResponseAt > checkSentAt+checkDueObjectives*b.longestObjective
+	return ep.activity.lastResponseAt > checkSentAt+b.checks.dueAfter()
 }
 
 // checksDoneOrTimedOut reports whether a request no longer has to wait for its health checks: all results
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -37,7 +37,7 @@
 // recordLatency updates all statistics of latencies with a successful attempt.
 func (b *Balancer) recordLatency(req *request, attempt *attempt, latency Milliseconds) {
 	ep := attempt.endpoint
-	b.timePerInFlight.record(latency, attempt.inFlightBefore)
+	b.timePerInFlight.recordLatency(latency, attempt.inFlightBefore)
 	latencyRatio := ratio(latency, attempt.timeLimit)
 	b.latency.recordResponse(b.now, latencyRatio, b.averagingGain())
 	slow := latencyRatio > b.latency.queueingRatio()
