Take the time constants of statistics, ejections and zone checks from no objective

The windows of the response rate, the time constants of load shedding, the first ejection of an endpoint, the delay between checks of an unreachable zone and the time for which an endpoint counts as slow were multiples of the longest latency objective. Other objectives therefore changed when requests were refused although nothing else did: TestCallersGetTheSameWithOtherObjectives still differed in the third digit with doubled and halved objectives.

They are constants now: response rate 5 s and 0.5 s, steady fraction 2 s, first ejection 1 s, first zone check after 0.5 s, slow for 1 s. For the classes of our site (longest objective 800 ms) they were 6.4, 0.8, 1.6, 0.8, 0.8 and 1.2 s.

Two processes of an upgrade from an earlier version count responses over different windows for some seconds. With objectives up to 625 ms the new process underestimates the rate, so that slow start is stricter; with longer ones (800 ms: 6.4 s for 5 s) it overestimates it by up to 1.28 times within its margin of 2 until the count has decayed.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -15,11 +15,10 @@
 // Balancer makes the load balancing decisions of one sidecar. It is not safe for concurrent use. Each concern
 // keeps its state in a separate type; the methods of Balancer combine them.
 type Balancer struct {
-	cfg              Config
-	longestObjective Milliseconds // longest latency objective of all classes
-	now              Milliseconds // time of the current event
-	actions          []Action     // actions returned by the current call
-	random           randomSource
+	cfg     Config
+	now     Milliseconds // time of the current event
+	actions []Action     // actions returned by the current call
+	random  randomSource
 
 	requests  map[RequestID]*request // open requests
 	endpoints endpointSet
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -23,7 +23,10 @@
 //   - learnedstate.go, handover.go: the learned state that a successor process imports
 //   - time.go, random.go, exponential.go: arithmetic that gives the same results on all processors
 //
-// All points in time and durations are of type [Milliseconds]. A constant whose name ends in Objectives is a
-// duration as a multiple of a latency objective. Other constants without a type are counts, fractions or
-// factors, unless their comments state a unit.
+// How long a request waits, when it is rejected and which requests are served first follows from the time
+// that its client has left, from the work in flight and its measured duration, and from the priorities and
+// quotas in the settings. Nothing depends on latency objectives, or on whether a request is a client's retry.
+//
+// All points in time and durations are of type [Milliseconds]. Constants without a type are counts, fractions
+// or factors, unless their comments state a unit.
 package balance
--- a/balance/healthcheck.go
+++ b/balance/healthcheck.go
@@ -133,7 +133,7 @@
 			return
 		}
 	default: // the endpoint is unreachable from here, or reports that it is not healthy
-		ep.outlier.recordFailedHealthCheck(b.now, b.longestObjective)
+		ep.outlier.recordFailedHealthCheck(b.now)
 	}
 	ep.healthCheck.pending = false
 	b.advanceWaitingRequests()
--- a/balance/latencystats.go
+++ b/balance/latencystats.go
@@ -27,9 +27,6 @@
 	// averagingPriorResponses is assumed in addition to the counted responses, so that averagingGain never
 	// has a rate of 0.
 	averagingPriorResponses = 1
-	// minRecencyTimeConstant is the lower bound of the time constant of recency. It equals the half-life of
-	// endpoint errors.
-	minRecencyTimeConstant = errorHalfLife
 )
 
 // latencyStats holds statistics of the latencies of all classes, relative to their time limits: how long
@@ -98,9 +95,8 @@
 // recency returns the weight of the statistics, which decays from 1 to 0 with the time since the last
 // sample. Without the decay, a sidecar that sheds all of its load would never detect the end of an
 // overload.
-func (s *latencyStats) recency(now, longestObjective Milliseconds) float64 {
-	timeConstant := max(responseRateObjectives*longestObjective, minRecencyTimeConstant)
-	return decay(now-s.lastSampleAt, timeConstant)
+func (s *latencyStats) recency(now Milliseconds) float64 {
+	return decay(now-s.lastSampleAt, longTermTimeConstant)
 }
 
 // recentRatio returns the mean ratio of latency to time limit, which moves to the lowest one as recency, the
--- a/balance/learnedstate.go
+++ b/balance/learnedstate.go
@@ -9,8 +9,8 @@
 	LastResponseAt     Milliseconds // when the last response arrived
 	ResponsesCountedAt Milliseconds // time to which the two response counts have decayed
 
-	LongTermResponseCount  float64 // responses; time constant: a multiple of the longest objective
-	ShortTermResponseCount float64 // responses; time constant: the longest latency objective
+	LongTermResponseCount  float64 // responses; time constant: longTermTimeConstant
+	ShortTermResponseCount float64 // responses; time constant: shortTermTimeConstant
 	MinLatencyRatio        float64 // lowest value of MeanLatencyRatio: without queueing
 	MeanLatencyRatio       float64 // recent mean of latency / time limit of the attempt
 	LatencyRatioSamples    float64 // samples of MeanLatencyRatio
--- a/balance/loadshedding.go
+++ b/balance/loadshedding.go
@@ -10,9 +10,8 @@
 	maxMultipleOfSteadyFraction = 2
 	// minSteadyShedGain is the least change of the steady fraction at one request, per unit of excess ratio.
 	minSteadyShedGain = 0.04
-	// steadyShedObjectives is the time constant of the steady fraction while requests are rare, as a multiple
-	// of the longest latency objective.
-	steadyShedObjectives = 2
+	// steadyShedTimeConstant is the time constant of the steady fraction while requests are rare.
+	steadyShedTimeConstant Milliseconds = 2000
 	// maxSteadyShedGain is the greatest change of the steady fraction at one request, per unit of excess
 	// ratio.
 	maxSteadyShedGain = 0.5
@@ -36,9 +35,8 @@
 }
 
 // updateSteadyFraction adjusts the steady fraction to the excess ratio when a request arrives.
-func (s *loadShedder) updateSteadyFraction(now, longestObjective Milliseconds, excessRatio float64) {
-	elapsedTimeConstants := float64((now - s.lastRequestAt) / steadyShedObjectives / longestObjective)
-	gain := clamp(elapsedTimeConstants, minSteadyShedGain, maxSteadyShedGain)
+func (s *loadShedder) updateSteadyFraction(now Milliseconds, excessRatio float64) {
+	gain := clamp(ratio(now-s.lastRequestAt, steadyShedTimeConstant), minSteadyShedGain, maxSteadyShedGain)
 	s.lastRequestAt = now
 	s.steadyFraction = clamp(s.steadyFraction+gain*excessRatio, 0, maxShedFraction)
 }
@@ -53,7 +51,7 @@
 // give up, before any attempt is sent.
 func (b *Balancer) admit(req *request) bool {
 	excessRatio := b.excessRatio()
-	b.shedder.updateSteadyFraction(b.now, b.longestObjective, excessRatio)
+	b.shedder.updateSteadyFraction(b.now, excessRatio)
 	shedFraction := b.shedder.shedFraction(excessRatio)
 	return shedFraction == 0 || b.random.next() >= b.shedProbability(req, shedFraction)
 }
@@ -62,7 +60,7 @@
 // the shed threshold. It is negative without an overload.
 func (b *Balancer) excessRatio() float64 {
 	b.decayResponseCounts()
-	recency := b.latency.recency(b.now, b.longestObjective)
+	recency := b.latency.recency(b.now)
 	expected := min(b.expectedLatencyRatio(recency), maxLatencyRatio)
 	return expected - b.latency.shedThreshold()
 }
@@ -76,6 +74,6 @@
 	// While other responses are fast, overdue attempts are not counted as load, because they may be lost.
 	slowdown := recentRatio/b.latency.shedThreshold() - 1
 	overdueLoad := b.load.overdueRate * clamp(overdueLoadGain*slowdown, 0, 1)
-	priorLoad := recentRatio * shedPriorResponses / responseRateObjectives / float64(b.longestObjective)
+	priorLoad := recentRatio * shedPriorResponses / float64(longTermTimeConstant)
 	return (b.totalRequiredRate() + overdueLoad + priorLoad) / b.responsesPerMillisecond(shedPriorResponses)
 }
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -1,8 +1,7 @@
 package balance
 
-// slowDurationObjectives is how long an endpoint counts as slow for sticky keys after a slow response, as a
-// multiple of the longest latency objective.
-const slowDurationObjectives = 1.5
+// slowDuration is how long an endpoint counts as slow for sticky keys after a slow response.
+const slowDuration Milliseconds = 1000
 
 // recordOutcome updates the statistics of the endpoint, the class and the load with the result of an attempt.
 func (b *Balancer) recordOutcome(req *request, attempt *attempt, ev Outcome) {
@@ -41,7 +40,7 @@
 	latencyRatio := ratio(latency, attempt.timeLimit)
 	b.latency.recordResponse(b.now, latencyRatio, b.averagingGain())
 	slow := latencyRatio > b.latency.queueingRatio()
-	ep.sticky.setSlow(slow, b.now+slowDurationObjectives*b.longestObjective)
+	ep.sticky.setSlow(slow, b.now+slowDuration)
 	if req.stats.latencySamples > 0 {
 		b.learnCapacity(ep, ratio(latency, req.stats.meanLatency))
 	}
--- a/balance/outlier.go
+++ b/balance/outlier.go
@@ -17,6 +17,8 @@
 	// connectErrorRestartTime is how long ago the last error must be for a single failed connection to count
 	// as a sign of a restart, when the endpoint responds again.
 	connectErrorRestartTime Milliseconds = 1000
+	// firstEjectionDuration is the duration of the first of consecutive ejections.
+	firstEjectionDuration Milliseconds = 1000
 	// maxEjectionDoublings limits how often the duration of consecutive ejections doubles.
 	maxEjectionDoublings = 3
 )
@@ -71,16 +73,17 @@
 	return stopped || s.consecutiveErrors >= errorsToEject
 }
 
-// eject ejects the endpoint for firstEjection, doubled once for each consecutive ejection before, at most
-// maxEjectionDoublings times.
-func (s *outlierState) eject(now, firstEjection Milliseconds) {
-	s.ejectedUntil = now + firstEjection.scaled(backoffFactor(s.consecutiveEjections, maxEjectionDoublings))
+// eject ejects the endpoint for firstEjectionDuration, doubled once for each consecutive ejection before, at
+// most maxEjectionDoublings times.
+func (s *outlierState) eject(now Milliseconds) {
+	duration := firstEjectionDuration.scaled(backoffFactor(s.consecutiveEjections, maxEjectionDoublings))
+	s.ejectedUntil = now + duration
 	s.consecutiveEjections++
 }
 
 // recordFailedHealthCheck ejects the endpoint after a failed health check.
-func (s *outlierState) recordFailedHealthCheck(now, firstEjection Milliseconds) {
-	s.eject(now, firstEjection)
+func (s *outlierState) recordFailedHealthCheck(now Milliseconds) {
+	s.eject(now)
 	s.healthCheckFailed = true
 }
 
@@ -116,13 +119,9 @@
 	ep.outlier.record(b.now, kind)
 	b.learnCapacity(ep, errorLatencyRatio)
 	if ep.outlier.shouldEject(kind) {
-		b.eject(ep)
+		ep.outlier.eject(b.now)
 	}
 }
 
-// eject ejects an endpoint. The first of consecutive ejections lasts as long as the longest latency
-// objective.
-func (b *Balancer) eject(ep *endpoint) { ep.outlier.eject(b.now, b.longestObjective) }
-
 // ejected reports whether an endpoint is ejected, either individually or because its zone is in an outage.
 func (b *Balancer) ejected(ep *endpoint) bool { return ep.outlier.ejected(b.now) || ep.zone.inOutage }
--- a/balance/reconfigure.go
+++ b/balance/reconfigure.go
@@ -1,8 +1,5 @@
 package balance
 
-// minLongestObjective is the lower bound of the longest latency objective, because that is used as a divisor.
-const minLongestObjective Milliseconds = 1
-
 // Reconfigure replaces the settings except for the seed. Learned state is kept, and open requests keep the
 // settings with which they arrived. classes and tenants hold the old index of each new class and tenant, or
 // -1 for an added one.
@@ -34,11 +31,9 @@
 	for _, stats := range oldStats { // open requests may still refer to a class that is removed
 		stats.index = unconfiguredClass
 	}
-	b.longestObjective = minLongestObjective
 	b.classes = make([]*classStats, len(b.cfg.Classes))
 	for i := range b.cfg.Classes {
 		class := &b.cfg.Classes[i]
-		b.longestObjective = max(b.longestObjective, class.LatencyObjective)
 		if old, ok := oldIndex(oldIndexes, i, len(oldStats)); ok {
 			b.classes[i] = oldStats[old]
 			b.classes[i].index = i
--- a/balance/responserate.go
+++ b/balance/responserate.go
@@ -3,9 +3,9 @@
 import "math"
 
 const (
-	// responseRateObjectives is the time constant of the long-term response count, as a multiple of the
-	// longest latency objective.
-	responseRateObjectives = 8
+	// longTermTimeConstant and shortTermTimeConstant are the time constants of the response counts.
+	longTermTimeConstant  Milliseconds = 5000
+	shortTermTimeConstant Milliseconds = 500
 	// minObservedFraction is the lower bound of the fraction of the long-term window that has been observed
 	// since the start. It keeps the divisor of the mean rate above 0.
 	minObservedFraction = 1e-3
@@ -18,18 +18,18 @@
 type responseRate struct {
 	startedAt      Milliseconds // when the balancer started
 	countedAt      Milliseconds // time to which the counts have decayed
-	longTermCount  float64      // time constant: responseRateObjectives * longest latency objective
-	shortTermCount float64      // time constant: longest latency objective
+	longTermCount  float64      // time constant: longTermTimeConstant
+	shortTermCount float64      // time constant: shortTermTimeConstant
 }
 
 // decayTo decays the counts to the given time.
-func (r *responseRate) decayTo(now, longestObjective Milliseconds) {
+func (r *responseRate) decayTo(now Milliseconds) {
 	elapsed := now - r.countedAt
 	if elapsed == 0 {
 		return
 	}
-	r.shortTermCount *= decay(elapsed, longestObjective)
-	r.longTermCount *= decay(elapsed, responseRateObjectives*longestObjective)
+	r.shortTermCount *= decay(elapsed, shortTermTimeConstant)
+	r.longTermCount *= decay(elapsed, longTermTimeConstant)
 	r.countedAt = now
 }
 
@@ -42,12 +42,12 @@
 // perMillisecond returns the rate of responses per millisecond: the long-term mean, or a lower bound of the
 // short-term rate if that is higher. The short-term rate follows traffic that grows quickly; its lower bound
 // discounts growth that may be due to chance. priorResponses are added to the long-term count.
-func (r *responseRate) perMillisecond(longestObjective Milliseconds, priorResponses float64) float64 {
-	timeConstant := responseRateObjectives * longestObjective
-	observedFraction := max(-math.Expm1(-ratio(r.countedAt-r.startedAt, timeConstant)), minObservedFraction)
-	meanRate := (r.longTermCount + priorResponses) / float64(timeConstant) / observedFraction
+func (r *responseRate) perMillisecond(priorResponses float64) float64 {
+	observed := -math.Expm1(-ratio(r.countedAt-r.startedAt, longTermTimeConstant))
+	observedFraction := max(observed, minObservedFraction)
+	meanRate := (r.longTermCount + priorResponses) / float64(longTermTimeConstant) / observedFraction
 	shortTermLowerBound := r.shortTermCount - chanceDeviations*math.Sqrt(r.shortTermCount)
-	return max(meanRate, shortTermLowerBound/float64(longestObjective))
+	return max(meanRate, shortTermLowerBound/float64(shortTermTimeConstant))
 }
 
 // halveCounts halves the counts when a successor takes over, because the two processes then share the load.
@@ -57,10 +57,10 @@
 }
 
 // decayResponseCounts decays the response counts to the current time.
-func (b *Balancer) decayResponseCounts() { b.responses.decayTo(b.now, b.longestObjective) }
+func (b *Balancer) decayResponseCounts() { b.responses.decayTo(b.now) }
 
 // responsesPerMillisecond returns the rate of responses, with priorResponses assumed in addition to the
 // counted ones. The caller has to call decayResponseCounts first.
 func (b *Balancer) responsesPerMillisecond(priorResponses float64) float64 {
-	return b.responses.perMillisecond(b.longestObjective, priorResponses)
+	return b.responses.perMillisecond(priorResponses)
 }
--- a/balance/zoneoutage.go
+++ b/balance/zoneoutage.go
@@ -8,6 +8,8 @@
 	unresponsiveEndpointsForOutage = 2
 	// minRestartOutage is the shortest outage during which the endpoints of the zone may have restarted.
 	minRestartOutage Milliseconds = 1000
+	// firstZoneCheckDelay is the delay, before jitter, after the first health check of an unreachable zone.
+	firstZoneCheckDelay Milliseconds = 500
 	// maxZoneCheckDoublings is the maximum number of times that the delay between a zone's health checks
 	// doubles.
 	maxZoneCheckDoublings = 2
@@ -80,7 +82,7 @@
 	if chosen != nil {
 		b.sendHealthCheck(chosen)
 	}
-	backoff := b.longestObjective.scaled(backoffFactor(zone.checkRounds, maxZoneCheckDoublings))
+	backoff := firstZoneCheckDelay.scaled(backoffFactor(zone.checkRounds, maxZoneCheckDoublings))
 	delay := backoff.scaled(b.random.jitter())
 	zone.checkRounds++
 	zone.nextCheckAt = b.now + delay
