Describe priorities and costs by what the settings say, not by what responses earn

The settings state what a request is worth and how far operations are to be avoided. What stays follows from that: requests that are worth the least for their work are rejected first, and costs decide between endpoints that can serve an attempt. Comments only.

--- a/balance/config.go
+++ b/balance/config.go
@@ -28,11 +28,13 @@
 	// DedupWindow is how long endpoints remember an idempotency key, counted from the first attempt that may
 	// have been executed.
 	DedupWindow Milliseconds
-	// LatencyObjective is the latency within which a response earns the full priority weight.
+	// LatencyObjective is the latency that clients wish for. It is not used in decisions: an answer after it is
+	// still an answer, as long as the client waits.
 	LatencyObjective Milliseconds
 	// Deadline is how long a client waits at most, including its own retries.
 	Deadline Milliseconds
-	// PriorityWeight is what a response within the latency objective earns.
+	// PriorityWeight is what a request is worth to the operators, relative to those of other classes. During
+	// an overload, the requests that are worth the least for their work are rejected first.
 	PriorityWeight float64
 	// LateWeight is what a response after the latency objective is worth, as a fraction of PriorityWeight. It
 	// is not used in decisions.
@@ -115,8 +117,8 @@
 	Costs Costs
 }
 
-// Costs are deducted from the priority weight that responses earn: each field for each operation of its kind,
-// in the unit of Class.PriorityWeight.
+// Costs state how far operators want operations to be avoided, each in the unit of Class.PriorityWeight for
+// one operation. They affect only which endpoint gets an attempt, among those that can serve it.
 type Costs struct {
 	CrossZone     float64 // an attempt to an endpoint of another zone
 	NewConnection float64 // a connection that is opened
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -104,8 +104,7 @@
 	Nines       float64 `json:"nines_part"`
 }
 
-// costsDocument holds the costs of a sidecar's operations and failures. They are deducted from the priority weight that
-// responses earn.
+// costsDocument holds the costs that the operators state for a sidecar's operations and failures.
 type costsDocument struct {
 	CrossZone      float64 `json:"cross_zone"`
 	WastedWork     float64 `json:"waste"`
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -134,7 +134,7 @@
 	minShortDeadline    balance.Milliseconds = 300
 	shortDeadlineSpread balance.Milliseconds = 400
 	// minObjectiveFraction is the shortest latency objective, as a fraction of the deadline of the class. Others are
-	// longer by less than objectiveFractionSpread.
+	// longer by less than objectiveFractionSpread. No decision depends on it.
 	minObjectiveFraction    = 0.3
 	objectiveFractionSpread = 0.4
 	// minDedupWindowMultiple is the shortest dedup window, as a multiple of the deadline of the class. Others are longer
