Wait for memory as long as a request can still be answered

A request now waits until its client's time less what responses of its class usually take: the mean of recent requests and their mean deviation, measured from arrival to response, at least 50 ms so that the rejection reaches the client.

TestMemoryWaitFollowsTimeLeft: with the fraction in place of the time, all five waits are wrong and two of the five requests are refused although memory comes free in time.

--- a/internal/downstream/api.go
+++ b/internal/downstream/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"cindersaddle/internal/exchange"
 )
@@ -26,8 +27,12 @@
 	}
 	conn.record.setPhase(phaseAwaiting)
 	ex.Memory.Retain() // for the handler, which may need the request after its client has gone
+	arrivedAt := time.Now()
 	s.handler.RequestArrived(ex)
 	response := s.awaitResponse(r, conn, ex)
+	if response.Status == http.StatusOK && ex.Message.Upload == nil {
+		ex.Settings.Responses[ex.Request.Class].Record(time.Since(arrivedAt))
+	}
 	conn.record.setPhase(phaseResponding)
 	s.respond(w, r, conn, ex.Message, response)
 }
--- a/internal/downstream/memory.go
+++ b/internal/downstream/memory.go
@@ -39,9 +39,9 @@
 )
 
 const (
-	// memoryWaitFraction is the fraction of its time that a request waits for memory. A request that is rejected after half
-	// of its time is priced.
-	memoryWaitFraction = 0.4
+	// minResponseTime is the least time before a client gives up at which a request stops to wait for memory. It allows the
+	// rejection to reach the client.
+	minResponseTime = 50 * time.Millisecond
 	// refusalMargin is the time before a read deadline at which waiting for memory ends, so that the client gets a response.
 	refusalMargin = 150 * time.Millisecond
 	// lingerTime is how long a connection is kept after the response to a head that was not read completely. If it were
@@ -120,10 +120,10 @@
 	return net.ErrClosed
 }
 
-// memoryDeadline returns until when a request may wait for memory. remaining is how long its client waits for the response.
-func (c *Conn) memoryDeadline(remaining time.Duration) time.Time {
-	now := time.Now()
-	deadline := now.Add(time.Duration(float64(remaining) * memoryWaitFraction))
+// memoryDeadline returns until when a request may wait for memory: as long as it can still be answered before its client gives
+// up. remaining is how long the client waits for the response, and responseTime how long the response usually takes.
+func (c *Conn) memoryDeadline(remaining, responseTime time.Duration) time.Time {
+	deadline := time.Now().Add(remaining - max(responseTime, minResponseTime))
 	if limit := c.requestDeadline().Add(-refusalMargin); limit.Before(deadline) {
 		return limit
 	}
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -17,7 +17,8 @@
 	if err != nil {
 		return nil, err
 	}
-	required := conn.newRequestMemory(balancerRequest.Remaining.Duration(), r.ContentLength)
+	responseTime := settings.Responses[balancerRequest.Class].Usual()
+	required := conn.newRequestMemory(balancerRequest.Remaining.Duration(), responseTime, r.ContentLength)
 	if required == nil {
 		return nil, s.countNoMemory(settings, balancerRequest.Class)
 	}
--- a/internal/downstream/requestmemory.go
+++ b/internal/downstream/requestmemory.go
@@ -17,9 +17,12 @@
 }
 
 // newRequestMemory returns the memory of the current request of a connection, whose body has the declared length. remaining is how
-// long the client waits for the response. It returns nil if there is no memory for the request.
-func (c *Conn) newRequestMemory(remaining time.Duration, declared int64) *requestMemory {
-	required := &requestMemory{reservation: c.tracker.Memory.NewReservation(), deadline: c.memoryDeadline(remaining)}
+// long the client waits for the response, and responseTime how long the response usually takes. It returns nil if there is no
+// memory for the request.
+func (c *Conn) newRequestMemory(remaining, responseTime time.Duration, declared int64) *requestMemory {
+	required := &requestMemory{
+		reservation: c.tracker.Memory.NewReservation(), deadline: c.memoryDeadline(remaining, responseTime),
+	}
 	kind := memory.Attempts
 	if declared > http1.MaxBufferedBody {
 		kind = memory.Uploads
--- /dev/null
+++ b/internal/downstream/requestmemory_test.go
@@ -0,0 +1,44 @@
+package downstream
+
+import (
+	"testing"
+	"time"
+
+	"cindersaddle/internal/memory"
+)
+
+// TestMemoryWaitFollowsTimeLeft guards against requests that are refused for lack of memory while they could still be answered,
+// or that wait when they cannot: they were refused after 0.4 of their time, whatever their response takes.
+func TestMemoryWaitFollowsTimeLeft(t *testing.T) {
+	const tolerance = 90 * time.Millisecond
+	for _, test := range []struct {
+		remaining, responseTime, want time.Duration
+	}{
+		{remaining: 400 * time.Millisecond, responseTime: 100 * time.Millisecond, want: 300 * time.Millisecond},
+		{remaining: 800 * time.Millisecond, responseTime: 100 * time.Millisecond, want: 700 * time.Millisecond},
+		{remaining: 400 * time.Millisecond, responseTime: 200 * time.Millisecond, want: 200 * time.Millisecond},
+		{remaining: 400 * time.Millisecond, responseTime: 500 * time.Millisecond, want: 0},
+		{remaining: 400 * time.Millisecond, want: 400*time.Millisecond - minResponseTime},
+	} {
+		tracker := NewConnTracker(1)
+		tracker.Memory = memory.NewBudget(requestBytes)
+		conn := &Conn{tracker: tracker, openedAt: time.Now(), requestNumber: 1}
+		held := tracker.Memory.NewReservation()
+		if !held.Grow(memory.Attempts, requestBytes) {
+			t.Fatal("got no memory in an empty budget")
+		}
+		startedAt := time.Now()
+		required := conn.newRequestMemory(test.remaining, test.responseTime, 0)
+		if waited := time.Since(startedAt); required != nil || waited < test.want || waited > test.want+tolerance {
+			t.Errorf("%v left, responses take %v, no memory: got granted %v after %v, want a refusal after %v",
+				test.remaining, test.responseTime, required != nil, waited, test.want)
+		}
+		releaseAfter := test.want / 2
+		time.AfterFunc(releaseAfter, held.Release)
+		startedAt = time.Now()
+		if required = conn.newRequestMemory(test.remaining, test.responseTime, 0); required == nil && test.want > 0 {
+			t.Errorf("%v left, responses take %v, memory after %v: got a refusal after %v, want the memory",
+				test.remaining, test.responseTime, releaseAfter, time.Since(startedAt))
+		}
+	}
+}
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -9,13 +9,15 @@
 // noIndex is the index of a name that is not in the previous table.
 const noIndex = -1
 
-// Settings are the part of the configuration that applies to requests. They are immutable: a new configuration creates new
-// Settings, and requests that were read before keep the Settings that they were read with. Any goroutine may read them.
+// Settings are the part of the configuration that applies to requests. They are immutable, except for what the counters and
+// the estimates of response times hold: a new configuration creates new Settings, and requests that were read before keep the
+// Settings that they were read with. Any goroutine may read them.
 type Settings struct {
 	ClassIndex  map[string]int           // index in ClassNames and Classes, by name
 	ClassNames  []string                 // in the order of Classes
 	Classes     []balance.Class          // in the order of the balancer's classes
 	Counters    []*metrics.ClassCounters // in the order of Classes
+	Responses   []*ResponseTime          // in the order of Classes
 	TenantIndex map[string]int           // index in TenantNames, by name
 	TenantNames []string                 // in the order of the balancer's tenants
 	MaxAttempts int                      // maximum number of attempts per request
@@ -34,6 +36,7 @@
 	}
 	for _, name := range settings.ClassNames {
 		settings.Counters = append(settings.Counters, registry.Class(name))
+		settings.Responses = append(settings.Responses, &ResponseTime{})
 	}
 	registry.TrimClasses(settings.Counters)
 	return settings
