--- a/balance/classstats.go
+++ b/balance/classstats.go
@@ -22,7 +22,7 @@
 	latencySamples   float64 // samples of meanLatency, up to maxLatencySamples
 	meanLatency      Milliseconds
 	latencyDeviation Milliseconds // mean absolute deviation
-	longestTimeout   Milliseconds // longest Request.Remaining seen
+	longestTimeout   Milliseconds // longest Request.Remaining seen; exported, but not used in decisions
 	meanTimeout      Milliseconds // recent mean of Request.Remaining
 	timeoutDeviation Milliseconds // its mean absolute deviation
 	priorityWeight   float64
@@ -50,8 +50,8 @@
 	c.meanTimeout += (timeout - c.meanTimeout) / averagingSamples
 }
 
-// timeLimit returns how long most clients of the class wait for a response: a mean deviation less than the
-// mean, but at least half of the mean, so that a few impatient clients do not count for all.
+// timeLimit returns how long most clients of the class wait for a response: the mean less the mean deviation,
+// but at least half of the mean, so that a few impatient clients do not count for all.
 func (c *classStats) timeLimit() Milliseconds {
 	return max(c.meanTimeout-c.timeoutDeviation, c.meanTimeout/2, minTimeLimit)
 }
