--- a/balance/callertime_test.go
+++ b/balance/callertime_test.go
@@ -54,8 +54,8 @@
 }
 
 // What a caller gets must not depend on settings that say nothing about the time that it has or about the work: the
-// latency objectives, what late responses are worth, the price of a health check, and whether a request is marked as a
-// client's retry. Otherwise, callers are turned away or kept waiting for no reason of theirs.
+// latency objectives, the weight of late responses, the price of a health check, and whether a request is marked as a
+// client's retry. Otherwise, callers are rejected or wait for no reason of theirs.
 func TestCallersGetTheSameWithOtherObjectives(t *testing.T) {
 	changes := map[string]func(*fleetPlan){
 		"objectives doubled": func(p *fleetPlan) { scaleObjectives(p, 2) },
@@ -147,7 +147,7 @@
 	})
 }
 
-// The settings state the worth of a class, so that an overload must reach the class with the lower one first: of the
+// The settings state the priority of a class, so that an overload must reach the class with the lower one first: of the
 // requests of the other class, which the endpoints can serve without it, at most a third as many may fail.
 func TestOverloadReachesLowPriorityFirst(t *testing.T) {
 	forEachLoad(t, []float64{1.5}, func(t *testing.T, plan fleetPlan) {
--- a/balance/config.go
+++ b/balance/config.go
@@ -33,10 +33,10 @@
 	LatencyObjective Milliseconds
 	// Deadline is how long a client waits at most, including its own retries.
 	Deadline Milliseconds
-	// PriorityWeight is what a request is worth to the operators, relative to those of other classes. During
-	// an overload, the requests that are worth the least for their work are rejected first.
+	// PriorityWeight is how important a request is, relative to those of other classes. During an overload,
+	// the requests with the lowest weight for their work are rejected first.
 	PriorityWeight float64
-	// LateWeight is what a response after the latency objective is worth, as a fraction of PriorityWeight. It
+	// LateWeight is the weight of a response after the latency objective, as a fraction of PriorityWeight. It
 	// is not used in decisions.
 	LateWeight float64
 	// Streaming is set if responses are streams. It is not used in decisions.
@@ -82,7 +82,7 @@
 	Tenants         []Tenant
 	OverQuotaWeight float64 // fraction of its priority that a request beyond its tenant's quota has
 
-	MinBatchInterval    Milliseconds // shortest time between two batches of events
+	MinBatchInterval    Milliseconds // shortest time between batches of events. Not used in decisions
 	ClientRetriesMarked bool         // clients mark their retries. Not used in decisions
 	KeyCaching          bool         // an endpoint does less work for a key that it served recently
 
--- a/balance/priority.go
+++ b/balance/priority.go
@@ -35,7 +35,7 @@
 	return (shedFraction*totalWork - lowerValueWork) / equalValueWork
 }
 
-// valuePerWork returns what a tenant's request of a class is worth per millisecond of latency, its work.
+// valuePerWork returns the priority of a tenant's request of a class per millisecond of latency, its work.
 func (b *Balancer) valuePerWork(class *classStats, tenant *requestCounter, totalRequests float64) float64 {
 	quotaFactor := b.quotaFactor(tenant, totalRequests)
 	return class.priorityWeight * quotaFactor / float64(max(class.meanLatency, minMeanLatency))
--- a/internal/downstream/requestmemory_test.go
+++ b/internal/downstream/requestmemory_test.go
@@ -23,8 +23,8 @@
 		tracker := NewConnTracker(1)
 		tracker.Memory = memory.NewBudget(requestBytes)
 		conn := &Conn{tracker: tracker, openedAt: time.Now(), requestNumber: 1}
-		held := tracker.Memory.NewReservation()
-		if !held.Grow(memory.Attempts, requestBytes) {
+		holder := tracker.Memory.NewReservation()
+		if !holder.Grow(memory.Attempts, requestBytes) {
 			t.Fatal("got no memory in an empty budget")
 		}
 		startedAt := time.Now()
@@ -34,7 +34,7 @@
 				test.remaining, test.responseTime, required != nil, waited, test.want)
 		}
 		releaseAfter := test.want / 2
-		time.AfterFunc(releaseAfter, held.Release)
+		time.AfterFunc(releaseAfter, holder.Release)
 		startedAt = time.Now()
 		if required = conn.newRequestMemory(test.remaining, test.responseTime, 0); required == nil && test.want > 0 {
 			t.Errorf("%v left, responses take %v, memory after %v: got a refusal after %v, want the memory",
