Answer a request at once that no ready endpoint may get

A request that has been tried at every endpoint that its class allows, for instance at the only one, waited for another endpoint: until its latency objective or, if its client must not repeat it, until its deadline; since the wait follows the client's time, until shortly before that.

If endpoints are ready but none of them may get an attempt, the request ends now. If none is ready, it waits.

TestRequestTriedEverywhereEndsAtOnce fails without the change for both classes.

--- a/balance/progress.go
+++ b/balance/progress.go
@@ -36,11 +36,11 @@
 
 // attemptOrGiveUp sends an attempt of a request that has none in flight. It ends the request if an attempt
 // would probably not be answered before the client gives up: the picked endpoint is overloaded, or there is
-// none and too little time is left to wait for one.
+// none and it is useless to wait for one.
 func (b *Balancer) attemptOrGiveUp(req *request) {
 	ep := b.pickEndpoint(req, req.nextAttemptKind())
 	switch {
-	case ep == nil && b.wouldMissDeadline(req):
+	case ep == nil && (b.wouldMissDeadline(req) || b.triedAllReady(req)):
 		b.rejectOrFail(req)
 	case ep != nil && b.overloaded(req, ep):
 		b.recordOverload()
--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// A request that has been tried at every endpoint that may get it is rejected at once: its client can do something else
+// with the time that it has left. It was kept until its latency objective, or until its deadline.
+func TestRequestTriedEverywhereEndsAtOnce(t *testing.T) {
+	for _, class := range []int{idempotentClass, cellKeyClass} {
+		h := newHarness(t, baseConfig(), newEndpoints(1)...)
+		id, _ := h.request(class)
+		h.now += 10
+		actions := h.finishAttempt(id, 0, ServerError, 10)
+		if !hasAction(actions, RejectRequest) && !hasAction(actions, FailRequest) {
+			t.Errorf("class %d, error of the only endpoint: got %+v, want a final response", class, actions)
+		}
+	}
+}
+
 // Before the latencies of a class are known, an attempt is overdue after a third of the time that its client waits,
 // which leaves time for another attempt, whatever the latency objective is. A class with an objective equal to its
 // deadline had no time left for one after half of it.
--- a/balance/retrypolicy.go
+++ b/balance/retrypolicy.go
@@ -191,6 +191,19 @@
 	return b.now+b.overdueAfter(req) <= req.deadline
 }
 
+// triedAllReady reports whether there are ready endpoints, but the retry policy allows no attempt at any of
+// them: the request has been tried at all that may get it.
+func (b *Balancer) triedAllReady(req *request) bool {
+	anyReady := false
+	for _, ep := range b.endpoints.list {
+		if b.eligible(req, ep) {
+			return false
+		}
+		anyReady = anyReady || ep.State == Ready
+	}
+	return anyReady
+}
+
 // wouldMissDeadline reports whether the response to an attempt sent now would probably arrive after the
 // client has given up.
 func (b *Balancer) wouldMissDeadline(req *request) bool {
