Keep waiting if an attempt was not made for lack of a local resource

TestNoAttemptAfterClientDisconnect (internal/sidecar, three of its cases) failed with the commit before: a request that found the pool of connections full at the only endpoint was answered at once instead of waiting for another endpoint. An attempt that was not made is no trial of an endpoint, so such a request waits as before.

TestRequestTriedEverywhereEndsAtOnce asserts it; it fails without the change, and the three cases pass with it. No golden decision changes.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -10,6 +10,7 @@
 	requiredRate    float64      // its share of the load; see newRequiredRate
 	inFlight        bool
 	neverExecuted   bool // its result proves that it was not executed
+	notAttempted    bool // its result is NotAttempted
 	connReset       bool // it ended because its connection broke
 	overdue         bool // it takes far longer than usual for its class
 	countedAsLoad   bool // it is counted in the endpoint's load or in the overdue load
@@ -106,6 +107,7 @@
 	attempt.endedAt = b.now
 	attempt.neverExecuted = ev.Incomplete || ev.Result.NeverExecuted()
 	attempt.connReset = ev.Result == ConnReset
+	attempt.notAttempted = ev.Result == NotAttempted
 	attempt.endpoint.load.inFlight--
 	b.load.remove(attempt)
 	req.inFlight--
--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -90,6 +90,11 @@
 		if !hasAction(actions, RejectRequest) && !hasAction(actions, FailRequest) {
 			t.Errorf("class %d, error of the only endpoint: got %+v, want a final response", class, actions)
 		}
+		id, _ = h.request(class)
+		actions = h.finishAttempt(id, 0, NotAttempted, 10)
+		if hasAction(actions, RejectRequest) || hasAction(actions, FailRequest) {
+			t.Errorf("class %d, attempt not made: got %+v, want a wait", class, actions)
+		}
 	}
 }
 
--- a/balance/retrypolicy.go
+++ b/balance/retrypolicy.go
@@ -192,8 +192,14 @@
 }
 
 // triedAllReady reports whether there are ready endpoints, but the retry policy allows no attempt at any of
-// them: the request has been tried at all that may get it.
+// them: the request has been tried at all that may get it. An attempt that was not made, for lack of a
+// connection for instance, is no such trial.
 func (b *Balancer) triedAllReady(req *request) bool {
+	for _, a := range req.attempts {
+		if a.notAttempted {
+			return false
+		}
+	}
 	anyReady := false
 	for _, ep := range b.endpoints.list {
 		if b.eligible(req, ep) {
