Do not take the timeouts of impatient clients for silent endpoints

A timeout counts only if the attempt waited for at least the mean latency of its class or, before that is known, for half of the time limit. Before that, no answer was to be expected.

TestImpatientClientsCauseNoShedding plays both intervals; without the change the second one fails.

--- a/balance/classstats.go
+++ b/balance/classstats.go
@@ -61,6 +61,15 @@
 	return max(c.meanTimeout-c.timeoutDeviation, c.meanTimeout/2, minTimeLimit)
 }
 
+// usualLatency returns how long an attempt has to wait at least before its timeout says anything about the
+// endpoints: the mean latency or, before it is known, half of the time limit.
+func (c *classStats) usualLatency() Milliseconds {
+	if c.latencySamples == 0 {
+		return c.timeLimit() / 2
+	}
+	return c.meanLatency
+}
+
 // recordLatency adds a sample to the mean latency and its deviation. The weight of the sample is gain, but at
 // least 1/latencySamples, so that the first samples have equal weights.
 func (c *classStats) recordLatency(latency Milliseconds, gain float64) {
--- a/balance/latencystats.go
+++ b/balance/latencystats.go
@@ -67,9 +67,9 @@
 	s.ratioDeviation += (min(math.Abs(differenceRatio), maxLatencyRatio) - s.ratioDeviation) * gain
 }
 
-// recordTimeout adds an attempt that timed out. gain is its weight. If no endpoint has responded in the
-// meantime and another one has been silent, too, no attempt is answered in time: the attempt then counts like
-// a rejection. A single silent endpoint may merely hang.
+// recordTimeout adds an attempt that timed out after the usual latency. gain is its weight. If no endpoint
+// has responded in the meantime and another one has been silent, too, no attempt is answered in time: the
+// attempt then counts like a rejection. A single silent endpoint may merely hang.
 func (s *latencyStats) recordTimeout(now Milliseconds, attempt *attempt, gain float64) {
 	if s.lastResponseAt >= attempt.sentAt {
 		return
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -15,7 +15,7 @@
 		b.recordSuccess(req, attempt, ev.Duration)
 	case Cancelled, NotAttempted:
 	default:
-		b.recordFailure(attempt, ev.Result)
+		b.recordFailure(req, attempt, ev)
 	}
 }
 
@@ -51,8 +51,9 @@
 }
 
 // recordFailure updates all statistics with a failed attempt.
-func (b *Balancer) recordFailure(attempt *attempt, result Result) {
-	if result == TimedOut {
+func (b *Balancer) recordFailure(req *request, attempt *attempt, ev Outcome) {
+	result := ev.Result
+	if result == TimedOut && ev.Duration >= req.stats.usualLatency() {
 		b.decayResponseCounts()
 		b.latency.recordTimeout(b.now, attempt, b.averagingGain())
 	}
--- a/balance/overload_test.go
+++ b/balance/overload_test.go
@@ -107,38 +107,41 @@
 // Clients that give up long before their requests can be answered must not cause rejections of those that wait, however
 // many they are: the time limit of their class is that of clients that get a response.
 func TestImpatientClientsCauseNoShedding(t *testing.T) {
-	h := newHarness(t, baseConfig(), newEndpoints(4)...)
-	type ending struct {
-		at     Milliseconds
-		result Result
-	}
-	ends := map[RequestID]ending{}
-	sent, rejected := 0, 0
-	for i := range 4000 {
-		h.now += 2
-		for id := RequestID(1); id <= h.lastRequest; id++ {
-			if end, inFlight := ends[id]; inFlight && h.now >= end.at {
-				delete(ends, id)
-				h.finishAttempt(id, 0, end.result, end.at-h.b.requests[id].arrivedAt)
-			}
+	for _, interval := range []Milliseconds{2, 20} { // between two requests
+		h := newHarness(t, baseConfig(), newEndpoints(4)...)
+		type ending struct {
+			at     Milliseconds
+			result Result
 		}
-		h.lastRequest++
-		id := h.lastRequest
-		remaining, end := Milliseconds(4), ending{h.now + 4, TimedOut}
-		if patient := i%20 == 0; patient {
-			remaining, end = 1500, ending{h.now + 15, OK}
-			sent++
+		ends := map[RequestID]ending{}
+		sent, rejected := 0, 0
+		for i := range 4000 {
+			h.now += interval
+			for id := RequestID(1); id <= h.lastRequest; id++ {
+				if end, inFlight := ends[id]; inFlight && h.now >= end.at {
+					delete(ends, id)
+					h.finishAttempt(id, 0, end.result, end.at-h.b.requests[id].arrivedAt)
+				}
+			}
+			h.lastRequest++
+			id := h.lastRequest
+			remaining, end := Milliseconds(4), ending{h.now + 4, TimedOut}
+			if patient := i%20 == 0; patient {
+				remaining, end = 1500, ending{h.now + 15, OK}
+				sent++
+			}
+			actions := h.dispatch(Request{ID: id, Class: idempotentClass, Remaining: remaining})
+			if hasAction(actions, SendAttempt) {
+				ends[id] = end
+			} else if end.result == OK {
+				rejected++
+			}
 		}
-		actions := h.dispatch(Request{ID: id, Class: idempotentClass, Remaining: remaining})
-		if hasAction(actions, SendAttempt) {
-			ends[id] = end
-		} else if end.result == OK {
-			rejected++
+		if rejected > 0 {
+			t.Errorf("a request every %v ms: got %d of %d requests of patient clients rejected, want none",
+				interval, rejected, sent)
 		}
 	}
-	if rejected > 0 {
-		t.Errorf("got %d of %d requests of patient clients rejected, want none", rejected, sent)
-	}
 }
 
 // Traffic that grows tenfold within seconds while responses stay fast must not cause load shedding. When the requests
