Reuse the duration estimate for the time that clients wait

- The class kept a mean and a deviation of the time that clients wait, by the arithmetic of DurationEstimate.
It now holds one, started from the same deadline and gain, so that the values are bit-identical.
- The rate required of a class was worked out in attempts.go from the fields of classStats.
It is now classStats.requiredRate.
- The averaging gain was computed twice in recordLatency.
- exchange.Settings.Responses is named ResponseTimes, which it holds.
- Two unused fields of the simulated fleet are gone, and the comment of TestCallersGetTheSameWithOtherPrices says only what the test checks.

Tests keep their assertions.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -7,7 +7,7 @@
 	endedAt         Milliseconds // set when it is no longer in flight
 	sentAt          Milliseconds // when it started, or when the last byte of a long body was sent
 	timeLimit       Milliseconds // how long most clients of its class waited when it was sent
-	requiredRate    float64      // its share of the load; see newRequiredRate
+	requiredRate    float64      // its share of the load; see classStats.requiredRate
 	inFlight        bool
 	neverExecuted   bool // its result proves that it was not executed
 	notAttempted    bool // its result is NotAttempted
@@ -28,16 +28,6 @@
 // that was sent later.
 func (a *attempt) presumedLost() bool { return a.endpoint.activity.latestSuccessSentAt > a.sentAt }
 
-// newRequiredRate returns the share of the load of an attempt that is sent now: the responses per millisecond
-// that are required to respond to it within timeLimit. It is 0 before there are responses of the class: until
-// then, nothing says how long its attempts take without a queue.
-func (c *classStats) newRequiredRate(timeLimit Milliseconds) float64 {
-	if c.latencySamples == 0 {
-		return 0
-	}
-	return 1 / float64(timeLimit)
-}
-
 // duration returns how long the attempt has taken so far, or took.
 func (a *attempt) duration(now Milliseconds) Milliseconds {
 	if a.inFlight {
@@ -50,12 +40,11 @@
 func (b *Balancer) sendAttempt(req *request, ep *endpoint) {
 	attempt := &attempt{
 		endpoint: ep, startedAt: b.now, sentAt: b.now, inFlight: true, inFlightBefore: unknownInFlight,
-		timeLimit: req.stats.timeLimit(),
+		timeLimit: req.stats.timeLimit(), requiredRate: req.stats.requiredRate(),
 	}
 	if b.hasFreshReport(ep) {
 		attempt.inFlightBefore = b.estimatedInFlight(ep)
 	}
-	attempt.requiredRate = req.stats.newRequiredRate(attempt.timeLimit)
 	sendBy := req.sendLimit()
 	ep.slowStart.takeToken()
 	ep.load.inFlight++
--- a/balance/callertime_test.go
+++ b/balance/callertime_test.go
@@ -85,8 +85,8 @@
 	})
 }
 
-// Prices of connections and of crossing zones may change which endpoint serves a request, but not whether it is served
-// or how long it waits: no further from the results of the plan than those of the plan with other random numbers.
+// Prices of connections and of crossing zones may change which endpoint serves a request, but hardly whether it is
+// served or how long it waits: only by chance, because other endpoints have other queues.
 func TestCallersGetTheSameWithOtherPrices(t *testing.T) {
 	const maxShareDifference, maxWaitDifference = 0.02, 2 // fraction of requests, milliseconds
 	forEachLoad(t, testedLoads, func(t *testing.T, plan fleetPlan) {
--- a/balance/classstats.go
+++ b/balance/classstats.go
@@ -21,10 +21,9 @@
 	index            int     // index in endpoint.classScores, or unconfiguredClass
 	latencySamples   float64 // samples of meanLatency, up to maxLatencySamples
 	meanLatency      Milliseconds
-	latencyDeviation Milliseconds // mean absolute deviation
-	longestTimeout   Milliseconds // longest Request.Remaining seen; exported, but not used in decisions
-	meanTimeout      Milliseconds // recent mean of Request.Remaining of requests with a response
-	timeoutDeviation Milliseconds // its mean absolute deviation
+	latencyDeviation Milliseconds     // mean absolute deviation
+	longestTimeout   Milliseconds     // longest Request.Remaining seen; exported, but not used in decisions
+	servedTimeouts   DurationEstimate // of Request.Remaining of requests that got a response
 	priorityWeight   float64
 	lastFailureAt    Milliseconds // when any endpoint last failed a request of the class
 	meanScore        float64      // mean of the endpoints' scores for the class; see updateMeanClassScore
@@ -36,7 +35,7 @@
 		requestCounter: requestCounter{count: 1},
 		index:          index,
 		priorityWeight: class.PriorityWeight,
-		meanTimeout:    class.Deadline,
+		servedTimeouts: DurationEstimate{mean: class.Deadline, samples: averagingSamples},
 		lastFailureAt:  longAgo,
 		meanScore:      initialMeanClassScore,
 	}
@@ -48,17 +47,22 @@
 	c.longestTimeout = max(c.longestTimeout, timeout)
 }
 
-// recordServedTimeout adds the timeout of a request that got a response. Clients that give up before they can
-// get one do not count: they must not determine how long others wait.
-func (c *classStats) recordServedTimeout(timeout Milliseconds) {
-	c.timeoutDeviation += ((timeout - c.meanTimeout).abs() - c.timeoutDeviation) / averagingSamples
-	c.meanTimeout += (timeout - c.meanTimeout) / averagingSamples
-}
-
 // timeLimit returns how long most clients of the class wait for a response: the mean less the mean deviation,
-// but at least half of the mean, so that a few impatient clients do not count for all.
+// but at least half of the mean, so that a few impatient clients do not count for all. Clients that give up
+// before they can get a response do not count: they must not determine how long others wait.
 func (c *classStats) timeLimit() Milliseconds {
-	return max(c.meanTimeout-c.timeoutDeviation, c.meanTimeout/2, minTimeLimit)
+	timeouts := &c.servedTimeouts
+	return max(timeouts.mean-timeouts.deviation, timeouts.mean/2, minTimeLimit)
+}
+
+// requiredRate returns the share of the load of an attempt that is sent now: the responses per millisecond
+// that are required to respond to it within the time limit. It is 0 before there are responses of the class:
+// until then, nothing says how long its attempts take without a queue.
+func (c *classStats) requiredRate() float64 {
+	if c.latencySamples == 0 {
+		return 0
+	}
+	return 1 / float64(c.timeLimit())
 }
 
 // usualLatency returns how long an attempt has to wait at least before its timeout says anything about the
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -14,19 +14,17 @@
 // fleetPlan describes a simulation of sidecars that send requests to the same endpoints. Arrivals, callers' times and
 // work are drawn ahead, so that plans which differ only in settings get the same requests.
 type fleetPlan struct {
-	seed         uint64
-	sidecars     int
-	endpoints    int
-	cores        int                  // requests that an endpoint works on at the same time
-	meanWork     balance.Milliseconds // of a request on a core, exponentially distributed
-	load         float64              // work that arrives, as a multiple of what all endpoints can do
-	duration     balance.Milliseconds // time in which requests arrive
-	minTime      float64              // the shortest time of a caller, as a fraction of the deadline of its class
-	markedShare  float64              // fraction of requests that are marked as a client's retry
-	retries      bool                 // a client whose request is rejected sends it once more
-	config       balance.Config
-	classWeights []float64                                                        // how often each class occurs; nil: equally often
-	slowdown     func(endpoint int, at balance.Milliseconds) balance.Milliseconds // factor of the work; nil: 1
+	seed        uint64
+	sidecars    int
+	endpoints   int
+	cores       int                  // requests that an endpoint works on at the same time
+	meanWork    balance.Milliseconds // of a request on a core, exponentially distributed
+	load        float64              // work that arrives, as a multiple of what all endpoints can do
+	duration    balance.Milliseconds // time in which requests arrive
+	minTime     float64              // the shortest time of a caller, as a fraction of the deadline of its class
+	markedShare float64              // fraction of requests that are marked as a client's retry
+	retries     bool                 // a client whose request is rejected sends it once more
+	config      balance.Config
 }
 
 // fleetResult describes what callers saw. Times are in milliseconds.
@@ -160,19 +158,10 @@
 func (f *fleet) drawArrivals() {
 	random := rand.New(rand.NewPCG(f.plan.seed, 45))
 	exponential := func() balance.Milliseconds { return balance.Milliseconds(-math.Log1p(-random.Float64())) }
-	weights := f.plan.classWeights
-	if weights == nil {
-		weights = slices.Repeat([]float64{1}, len(f.plan.config.Classes))
-	}
-	totalWeight := mean(weights) * float64(len(weights))
 	capacity := balance.Milliseconds(f.plan.endpoints*f.plan.cores) / f.plan.meanWork // requests per millisecond
 	interval := 1 / (capacity * balance.Milliseconds(f.plan.load))
 	for at := f.now; at < startTime+f.plan.duration; at += interval * exponential() {
-		class, draw := 0, random.Float64()*totalWeight
-		for class < len(weights)-1 && draw >= weights[class] {
-			draw -= weights[class]
-			class++
-		}
+		class := int(random.Float64() * float64(len(f.plan.config.Classes))) // equally often
 		fraction := f.plan.minTime + (1-f.plan.minTime)*random.Float64()
 		f.lastID++
 		request := &fleetRequest{
@@ -235,12 +224,8 @@
 	f.result.attempts++
 	request.attempts = append(request.attempts, true)
 	f.schedule(sentAt+fleetNetworkDelay, func() {
-		work := request.work
-		if f.plan.slowdown != nil {
-			work *= f.plan.slowdown(int(id)-1, f.now-startTime)
-		}
-		doneAt := endpoint.accept(f.now, work)
-		f.schedule(min(doneAt, 1e9), func() { endpoint.inFlight-- })
+		doneAt := endpoint.accept(f.now, request.work)
+		f.schedule(doneAt, func() { endpoint.inFlight-- })
 		if doneAt+fleetNetworkDelay <= request.deadline {
 			f.schedule(doneAt+fleetNetworkDelay, func() {
 				f.endAttempt(request, index, id, balance.OK, f.now-sentAt)
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -37,17 +37,18 @@
 func (b *Balancer) recordLatency(req *request, attempt *attempt, latency Milliseconds) {
 	ep := attempt.endpoint
 	b.timePerInFlight.recordLatency(latency, attempt.inFlightBefore)
+	gain := b.averagingGain()
 	latencyRatio := ratio(latency, attempt.timeLimit)
-	b.latency.recordResponse(b.now, latencyRatio, b.averagingGain())
+	b.latency.recordResponse(b.now, latencyRatio, gain)
 	slow := latencyRatio > b.latency.queueingRatio()
 	ep.sticky.setSlow(slow, b.now+slowDuration)
 	if req.stats.latencySamples > 0 {
 		difference := ratio(latency-req.stats.meanLatency, attempt.timeLimit)
-		b.latency.recordDeviation(difference, b.averagingGain())
+		b.latency.recordDeviation(difference, gain)
 		b.learnCapacity(ep, ratio(latency, req.stats.meanLatency))
 	}
-	req.stats.recordLatency(latency, b.averagingGain()*classLatencyGain)
-	req.stats.recordServedTimeout(req.Remaining)
+	req.stats.recordLatency(latency, gain*classLatencyGain)
+	req.stats.servedTimeouts.Record(req.Remaining)
 }
 
 // recordFailure updates all statistics with a failed attempt.
--- a/internal/downstream/api.go
+++ b/internal/downstream/api.go
@@ -31,7 +31,7 @@
 	s.handler.RequestArrived(ex)
 	response := s.awaitResponse(r, conn, ex)
 	if response.Status == http.StatusOK && ex.Message.Upload == nil {
-		ex.Settings.Responses[ex.Request.Class].Record(time.Since(arrivedAt))
+		ex.Settings.ResponseTimes[ex.Request.Class].Record(time.Since(arrivedAt))
 	}
 	conn.record.setPhase(phaseResponding)
 	s.respond(w, r, conn, ex.Message, response)
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return nil, err
 	}
-	responseTime := settings.Responses[balancerRequest.Class].Usual()
+	responseTime := settings.ResponseTimes[balancerRequest.Class].Usual()
 	required := conn.newRequestMemory(balancerRequest.Remaining.Duration(), responseTime, r.ContentLength)
 	if required == nil {
 		return nil, s.countNoMemory(settings, balancerRequest.Class)
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -13,14 +13,15 @@
 // the estimates of response times hold: a new configuration creates new Settings, and requests that were read before keep the
 // Settings that they were read with. Any goroutine may read them.
 type Settings struct {
-	ClassIndex  map[string]int           // index in ClassNames and Classes, by name
-	ClassNames  []string                 // in the order of Classes
-	Classes     []balance.Class          // in the order of the balancer's classes
-	Counters    []*metrics.ClassCounters // in the order of Classes
-	Responses   []*ResponseTime          // in the order of Classes
-	TenantIndex map[string]int           // index in TenantNames, by name
-	TenantNames []string                 // in the order of the balancer's tenants
-	MaxAttempts int                      // maximum number of attempts per request
+	ClassIndex map[string]int           // index in ClassNames and Classes, by name
+	ClassNames []string                 // in the order of Classes
+	Classes    []balance.Class          // in the order of the balancer's classes
+	Counters   []*metrics.ClassCounters // in the order of Classes
+	// ResponseTimes estimate how long requests take, in the order of Classes.
+	ResponseTimes []*ResponseTime
+	TenantIndex   map[string]int // index in TenantNames, by name
+	TenantNames   []string       // in the order of the balancer's tenants
+	MaxAttempts   int            // maximum number of attempts per request
 }
 
 // NewSettings returns the settings of a configuration. It registers counters for each of its classes in registry, which may
@@ -36,7 +37,7 @@
 	}
 	for _, name := range settings.ClassNames {
 		settings.Counters = append(settings.Counters, registry.Class(name))
-		settings.Responses = append(settings.Responses, &ResponseTime{})
+		settings.ResponseTimes = append(settings.ResponseTimes, &ResponseTime{})
 	}
 	registry.TrimClasses(settings.Counters)
 	return settings
