Answer a long body that is late in a shutdown before the process is killed

Cause: a request that is complete late in a shutdown gets less time (limitLateRequest), but for a long body only when its last byte had been sent. While the endpoint reads nothing, that byte waits in the kernel, and uploadDeadline knew no limit by the shutdown.

Change: from LateAfter on, a request whose body has not been sent completely is late and has its response by RespondBy (limitLateUpload).

TestLongBodyLateInShutdownIsAnswered failed before.

--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -81,7 +81,7 @@
 // uploadDeadline returns the deadline of a request in stateUploading if no more of its body arrives.
 func (l *Loop) uploadDeadline(req *request) balance.Milliseconds {
 	lastByteAt := l.clock.toMilliseconds(req.exchange.Message.Upload.EarliestLastByte())
-	return lastByteAt + req.exchange.Request.Remaining
+	return l.limitLateUpload(req, lastByteAt+req.exchange.Request.Remaining)
 }
 
 // handleDeadlineTimer fails a request that awaits its response after its deadline. The deadline of a long body moves while the
--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -77,7 +77,12 @@
 
 // runUntilResponse handles events and timers in the test's goroutine until the request has its response.
 func runUntilResponse(l *Loop, ex *exchange.Exchange) {
-	for len(ex.Responses) == 0 {
+	runUntilResponseOr(l, ex, time.Now().Add(time.Hour))
+}
+
+// runUntilResponseOr is runUntilResponse with an end.
+func runUntilResponseOr(l *Loop, ex *exchange.Exchange, end time.Time) {
+	for len(ex.Responses) == 0 && time.Now().Before(end) {
 		select {
 		case ev := <-l.inbox.events:
 			l.clock.update()
--- a/internal/eventloop/request.go
+++ b/internal/eventloop/request.go
@@ -39,8 +39,9 @@
 	state      requestState
 	idClaimed  bool // its trace ID is in Loop.executedIDs
 	mayHaveRun bool // an attempt has ended without proof that it was not executed
-	// lateInShutdown means that the request was complete only late in a shutdown (limitLateRequest): its remaining time
-	// is limited, and it gets no streamed response, so that it ends before the process may be killed.
+	// lateInShutdown means that the request was not complete before a shutdown was late (limitLateRequest,
+	// limitLateUpload): its time is limited, and it gets no streamed response, so that it ends before the process may
+	// be killed.
 	lateInShutdown bool
 }
 
--- a/internal/eventloop/requesttime.go
+++ b/internal/eventloop/requesttime.go
@@ -20,9 +20,8 @@
 	balancerRequest.Remaining = max(0, balancerRequest.Remaining-queued)
 }
 
-// limitToShutdown limits the remaining time of a request that arrived late in a shutdown to what the shutdown allows.
-func (r *request) limitToShutdown(allowed balance.Milliseconds) {
-	r.lateInShutdown = true
+// limitRemaining limits the remaining time of a request.
+func (r *request) limitRemaining(allowed balance.Milliseconds) {
 	balancerRequest := &r.exchange.Request
 	balancerRequest.Remaining = max(0, min(balancerRequest.Remaining, allowed))
 }
--- a/internal/eventloop/shutdown_test.go
+++ b/internal/eventloop/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -54,3 +55,52 @@
 		})
 	}
 }
+
+// TestLongBodyLateInShutdownIsAnswered guards against a request without a final response when the process is killed: its endpoint
+// hangs and does not accept its long body, and the last byte may have been written late in a shutdown. Before the shutdown is
+// late, the body may take as long as it arrives.
+func TestLongBodyLateInShutdownIsAnswered(t *testing.T) {
+	const untilRespondBy, margin = 400 * time.Millisecond, 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		lateAfter    time.Duration // from the begin of the test
+		wantResponse bool
+	}{
+		"arrives late":      {-time.Millisecond, true},
+		"becomes late":      {untilRespondBy / 2, true},
+		"before it is late": {time.Hour, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newTestLoop(t)
+			l.upstreamClient = newTestUpstream(t)
+			hanging := sidecartest.Listen(t) // its connections are established, and nothing is read
+			l.applyEndpointList(singleEndpointList(hanging.Addr().String()), balance.UpdateSnapshot)
+			begin := time.Now()
+			l.serviceState.Shutdown.Store(&exchange.ShutdownTimes{
+				LateAfter: begin.Add(c.lateAfter), RespondBy: begin.Add(untilRespondBy),
+			})
+			ex := newTestExchange(l, begin)
+			ex.Request.Uploading, ex.Request.Remaining = true, 20_000
+			ex.Message.Upload = newEndlessUpload(t)
+			l.clock.update()
+			l.registerRequest(ex)
+			runUntilResponseOr(l, ex, begin.Add(untilRespondBy+margin))
+			if responded := len(ex.Responses) > 0; responded != c.wantResponse {
+				t.Errorf("got a final response by the time limit: %v, want %v", responded, c.wantResponse)
+			}
+		})
+	}
+}
+
+// newEndlessUpload returns an upload whose client goes on writing: its last byte is always still to come.
+func newEndlessUpload(t *testing.T) *exchange.Upload {
+	t.Helper()
+	body, client := io.Pipe()
+	t.Cleanup(func() { client.Close() })
+	upload := &exchange.Upload{
+		Length: exchange.UnknownLength, Source: body, Budget: &exchange.ReplayBudget{}, SetReadTimeout: func(time.Duration) {},
+	}
+	upload.SetFirstBytes([]byte("the beginning"))
+	upload.ObserveArrival = func() { upload.Arrival.NoteWait(time.Now()) }
+	return upload
+}
--- a/internal/exchange/shutdown.go
+++ b/internal/exchange/shutdown.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// ResponseLimit returns when a request that is complete at completeAt must have its response, if that is late in the shutdown. t
+// is nil if no shutdown has begun.
+func (t *ShutdownTimes) ResponseLimit(completeAt time.Time) (respondBy time.Time, late bool) {
+	if t == nil || !completeAt.After(t.LateAfter) {
+		return time.Time{}, false
+	}
+	return t.RespondBy, true
+}
+
 // LongestDeadline returns the longest deadline of the classes.
 func LongestDeadline(classes []balance.Class) time.Duration {
 	var longest balance.Milliseconds
