End the wait for memory of a late request before a shutdown ends the process

What callers would see: a request that is read late in a shutdown while memory is short waits as long as its client does, and is unanswered when the process is killed.

Change: ConnTracker.limitToShutdown ends the wait of a head or a request at RespondBy if it begins after LateAfter; the client gets 503.

Not played with processes.

--- a/internal/downstream/memory.go
+++ b/internal/downstream/memory.go
@@ -98,7 +98,7 @@
 	if c.scanner.RequestsStarted.Load() <= 1 {
 		startedAt = c.openedAt
 	}
-	return startedAt.Add(headTimeout - refusalMargin)
+	return c.tracker.limitToShutdown(startedAt.Add(headTimeout - refusalMargin))
 }
 
 // refuseHead responds to a request whose head has not been read completely, and returns an error after which net/http closes
@@ -120,10 +120,23 @@
 	return net.ErrClosed
 }
 
+// limitToShutdown returns until when a request that has not been read completely may wait for memory, if not for a shutdown it
+// may wait until deadline. Late in a shutdown, it must have its response before the process may be killed.
+func (t *ConnTracker) limitToShutdown(deadline time.Time) time.Time {
+	if t.State == nil {
+		return deadline
+	}
+	respondBy, late := t.State.Shutdown.Load().ResponseLimit(time.Now())
+	if late && respondBy.Before(deadline) {
+		return respondBy
+	}
+	return deadline
+}
+
 // memoryDeadline returns until when a request may wait for memory: as long as it can still be answered before its client gives
 // up. remaining is how long the client waits for the response, and responseTime how long the response usually takes.
 func (c *Conn) memoryDeadline(remaining, responseTime time.Duration) time.Time {
-	deadline := time.Now().Add(remaining - max(responseTime, minResponseTime))
+	deadline := c.tracker.limitToShutdown(time.Now().Add(remaining - max(responseTime, minResponseTime)))
 	if limit := c.requestDeadline().Add(-refusalMargin); limit.Before(deadline) {
 		return limit
 	}
--- a/internal/downstream/requestmemory_test.go
+++ b/internal/downstream/requestmemory_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/memory"
 )
 
@@ -42,3 +43,35 @@
 		}
 	}
 }
+
+// TestMemoryWaitEndsWithShutdown guards against a request that is read late in a shutdown, waits for memory as long as its client
+// does, and has no response when the process is killed.
+func TestMemoryWaitEndsWithShutdown(t *testing.T) {
+	const untilRespondBy, tolerance = 200 * time.Millisecond, 90 * time.Millisecond
+	for name, test := range map[string]struct {
+		lateAfter time.Duration // from now
+		want      time.Duration
+	}{
+		"late":     {-time.Millisecond, untilRespondBy},
+		"not late": {time.Hour, 500*time.Millisecond - minResponseTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewConnTracker(1)
+			tracker.Memory = memory.NewBudget(0)
+			tracker.State = &exchange.ServiceState{}
+			startedAt := time.Now()
+			tracker.State.Shutdown.Store(&exchange.ShutdownTimes{
+				LateAfter: startedAt.Add(test.lateAfter), RespondBy: startedAt.Add(untilRespondBy),
+			})
+			conn := &Conn{tracker: tracker, openedAt: startedAt, requestNumber: 1}
+			required := conn.newRequestMemory(500*time.Millisecond, 0, 0)
+			if waited := time.Since(startedAt); required != nil || waited < test.want || waited > test.want+tolerance {
+				t.Errorf("got granted %v after %v, want a refusal after %v", required != nil, waited, test.want)
+			}
+			headWait := conn.headDeadline().Sub(startedAt)
+			if limited := headWait <= untilRespondBy; limited != (name == "late") {
+				t.Errorf("got a head that may wait for %v, want it limited to %v: %v", headWait, untilRespondBy, name == "late")
+			}
+		})
+	}
+}
--- a/internal/downstream/tracker.go
+++ b/internal/downstream/tracker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/logging"
 	"cindersaddle/internal/memory"
 	"cindersaddle/internal/timing"
@@ -35,6 +36,9 @@
 	// Memory is the budget that connections and heads count against; nil means no limit. It must be set before the first
 	// connection is added.
 	Memory *memory.Budget
+	// State says whether the process is shutting down; nil means that it never does. It must be set before the first
+	// connection is added.
+	State *exchange.ServiceState
 
 	// BeforeRead, if set, is called before each read from a connection, with the address of the client. It is for tests
 	// and must be set before the first connection is added.
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -75,6 +75,7 @@
 	client := upstream.NewClient(s.upstreamPool, cfg.LoadReportFields, selectHealthCheckPath(cfg), s.metrics)
 	s.loop.Attach(client, s.watcher)
 	s.clientConns = downstream.NewConnTracker(0) // applyLimits sets the limit
+	s.clientConns.State = s.state
 	s.clientConns.Log = log
 	s.clientConns.Memory = s.memory
 	s.memory.SetReclaim(func() bool { return s.upstreamPool.Evict() || s.clientConns.EvictStalled() })
