End a short response that its endpoint does not complete when its time ends

Cause: from its start on, a streamed response had no limit but 5 s between two bytes (Download.ExtendDeadline), whatever its length. A response is streamed not only if it is long, but also if it has no length and takes over 20 ms, or if there is no memory to buffer it.

Change: responseLimit says how long to wait for the next bytes, and streamedBody enforces it while it reads. A response that is declared to be short ends with the time of its request. So does one that may be short, unless its endpoint still sends then as it did before. It is long once over 64 KiB have arrived or are announced by the size of a chunk. ChunkedReader tells that size.

--- a/internal/downstream/stream.go
+++ b/internal/downstream/stream.go
@@ -80,7 +80,6 @@
 	buffer, putBack := streamBuffer(reservation)
 	defer putBack()
 	for {
-		download.ExtendDeadline()
 		n, readErr := download.Body.Read(buffer)
 		if n > 0 {
 			if err := writePart(w, controller, buffer[:n]); err != nil {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -40,6 +40,15 @@
 	Streaming bool   // the rest of the body must be read from Head.Body
 }
 
+// AnnouncedBytes returns how many further bytes of a streamed body the endpoint has announced by the size of the current chunk. It
+// is 0 if the body is not chunked.
+func (r Response) AnnouncedBytes() int64 {
+	if chunked, ok := r.Head.Body.(*ChunkedReader); ok {
+		return chunked.announcedBytes()
+	}
+	return 0
+}
+
 // Next reads the response to a request with the given method. It also reads the complete body, unless the body is
 // streamed:
 //   - A body with a Content-Length is streamed if the length exceeds MaxBufferedBody. Response.Body is empty then.
@@ -181,7 +190,7 @@
 			return ignoreBodyUnlessOK(resp)
 		}
 		if len(resp.TransferEncoding) > 0 { // always "chunked": http.ReadResponse rejects other encodings
-			resp.Body = io.NopCloser(&ChunkedReader{Source: r.Reader})
+			resp.Body = &ChunkedReader{Source: r.Reader}
 		}
 		return resp, nil
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -92,6 +92,15 @@
 	return a.Deadline
 }
 
+// requestDeadline returns when the time of the request ends. While the endpoint has not accepted all of a streamed request body,
+// that is not known exactly: it counts from when the client may have written the last byte at the earliest.
+func (a *Attempt) requestDeadline() time.Time {
+	if upload := a.Message.Upload; upload != nil && a.uploadSentAt.Load() == nil {
+		return earlier(a.Deadline, upload.EarliestLastByte().Add(a.PostUploadTimeout))
+	}
+	return a.responseDeadline()
+}
+
 // mustNotSend reports whether the attempt must end without sending its first byte.
 func (a *Attempt) mustNotSend() bool {
 	return a.Endpoint.Closed.Load() || a.obsolete() || a.tooLateToSend()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -17,12 +17,11 @@
 // connection.
 func streamedResponse(response http1.Response, attempt *Attempt, conn *endpointConn) *exchange.Response {
 	download := &exchange.Download{
-		FirstBytes:     response.Body,
-		Body:           response.Head.Body,
-		Length:         response.Head.ContentLength,
-		Cancel:         attempt.Cancel,
-		Done:           make(chan error, 1),
-		ExtendDeadline: func() { attempt.setReadDeadline(conn, time.Now().Add(exchange.StallTimeout)) },
+		FirstBytes: response.Body,
+		Body:       newStreamedBody(attempt, conn, response),
+		Length:     response.Head.ContentLength,
+		Cancel:     attempt.Cancel,
+		Done:       make(chan error, 1),
 	}
 	return &exchange.Response{Status: http.StatusOK, Header: response.Head.Header, Download: download}
 }
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -1,11 +1,14 @@
 package upstream
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
 
 	"cindersaddle/balance"
+	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/memory"
 	"cindersaddle/internal/sidecartest"
 )
 
@@ -81,3 +84,57 @@
 		})
 	}
 }
+
+// downloadReader is an Observer that reads a streamed response like a client, and records what it gets.
+type downloadReader struct {
+	ignoringObserver
+	received int64
+	err      error
+}
+
+func (r *downloadReader) StreamStarted(_ *Attempt, response *exchange.Response, _ time.Time) {
+	download := response.Download
+	rest, err := io.Copy(io.Discard, download.Body)
+	r.received, r.err = int64(len(download.FirstBytes))+rest, err
+	download.Finish(err)
+}
+
+// TestStoppedResponseEndsWithItsRequest guards against a short response that is never ended: the endpoint stops in the middle of
+// it and keeps the connection open. For each framing the attempt must end with the time of the request, and the response must
+// not look complete.
+func TestStoppedResponseEndsWithItsRequest(t *testing.T) {
+	const timeout, latest = 300 * time.Millisecond, 800 * time.Millisecond
+	for name, test := range map[string]struct {
+		response string
+		noMemory bool // for a response, so that it is streamed although it is short
+	}{
+		"in chunks":                    {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n"},
+		"within a chunk":               {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1c\r\nanswer"},
+		"without the end of a chunk":   {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer"},
+		"without the last empty line":  {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n"},
+		"to the end of the connection": {response: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nanswer"},
+		"HTTP/1.0":                     {response: "HTTP/1.0 200 OK\r\n\r\nanswer"},
+		"declared, no memory": {
+			response: "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", 10_000), noMemory: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := sidecartest.NewScriptedServer(t, sidecartest.RespondRaw(test.response))
+			attempt := newAttempt(newEndpoint(server.Addr), timeout)
+			if test.noMemory {
+				attempt.Message.Memory = memory.NewBudget(0).NewReservation()
+			}
+			reader := &downloadReader{}
+			attempt.Observer = reader
+			start := time.Now()
+			expectResult(t, newTestClient(t, testMaxConns), attempt, balance.ConnReset)
+			if took := time.Since(start); took < timeout || took > latest {
+				t.Errorf("got an end after %v, want one from %v to %v", took, timeout, latest)
+			}
+			if reader.received == 0 || reader.err == nil {
+				t.Errorf("got %d bytes of the response and error %v, want the first part and an error", reader.received, reader.err)
+			}
+		})
+	}
+}
