Give up a long response only after a pause longer than endpoints hang

Cause: exchange.StallTimeout, 5 s, limited the pause between two bytes of every streamed response.

Change: only a pause of 30 s ends a response that is known to be long (maxResponsePause). Responses that may be short keep the limit of their request. StallTimeout now serves request bodies only.

TestPauseInLongResponse failed before.

--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// StallTimeout is how long a peer may go without sending a byte of a streamed body, and an endpoint without accepting
-	// one. Slow peers pause for seconds; a peer that hangs must not occupy its connection forever.
+	// StallTimeout is how long a client may go without sending a byte of a streamed request body, and an endpoint without
+	// accepting one. Slow peers pause for seconds; a peer that hangs must not occupy its connection forever.
 	StallTimeout = 5 * time.Second
 	// expiredTimeout is a read timeout that interrupts a read in progress.
 	expiredTimeout time.Duration = -1
--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -4,11 +4,12 @@
 	"errors"
 	"time"
 
-	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/http1"
 )
 
 const (
+	// maxResponsePause is how long an endpoint may pause within a long response: endpoints hang for up to 25 s and then go on.
+	maxResponsePause = 30 * time.Second
 	// lateResponseGrace is how long a response may pause after its request's time without counting as ended. The client may
 	// get its final response up to 500 ms late.
 	lateResponseGrace = 400 * time.Millisecond
@@ -39,11 +40,11 @@
 
 // responseLimit determines how long to wait for the next bytes of a streamed response.
 //
-// The time of a request ends with the last byte of a short response, but with the first bytes of a long one. As long as the length
-// is unknown, the time limit of a short response applies, unless the endpoint still sends after it, as it has before: not
-// slower than minLongResponseRate, and without a pause much longer than the ones before.
+// The time of a request ends with the last byte of a short response, but with the first bytes of a long one, which only a pause of
+// maxResponsePause ends. As long as the length is unknown, the time limit of a short response applies, unless the endpoint still
+// sends after it, as it has before: not slower than minLongResponseRate, and without a pause much longer than the ones before.
 type responseLimit struct {
-	declared     int64         // length of the body, or exchange.UnknownLength
+	declared     int64         // length of the body, or a negative number if the endpoint declares none
 	startedAt    time.Time     // when the first bytes had arrived
 	received     int64         // bytes of the body that have arrived
 	long         bool          // more than http1.MaxBufferedBody bytes have arrived or are announced
@@ -84,7 +85,7 @@
 // is the end of the request's time.
 func (l *responseLimit) waitUntil(deadline, waitingSince time.Time) time.Time {
 	if l.length() == lengthLong {
-		return waitingSince.Add(exchange.StallTimeout)
+		return waitingSince.Add(maxResponsePause)
 	}
 	end := waitingSince.Add(l.allowedPause(deadline, waitingSince))
 	if end.Before(deadline) {
--- a/internal/upstream/responselimit_test.go
+++ b/internal/upstream/responselimit_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -83,3 +84,30 @@
 		}
 	}
 }
+
+// TestPauseInLongResponse guards against cutting off a long response while its endpoint hangs for as long as endpoints do, at any
+// moment of it, and against waiting forever for an endpoint that never goes on.
+func TestPauseInLongResponse(t *testing.T) {
+	const deadline, longestHang, latest = 2 * time.Second, 25 * time.Second, 31 * time.Second
+	for name, test := range map[string]struct {
+		declared int64
+		first    arrival
+	}{
+		"declared, at the first byte": {http1.MaxBufferedBody + 1, arrival{bytes: 1}},
+		"declared, in the middle":     {32 << 20, arrival{bytes: 16 << 20}},
+		"announced by a chunk":        {exchange.UnknownLength, arrival{bytes: 1, announced: http1.MaxBufferedBody}},
+		"by a chunk of any size":      {exchange.UnknownLength, arrival{bytes: 1, announced: math.MaxInt64}},
+		"more has arrived":            {exchange.UnknownLength, arrival{bytes: http1.MaxBufferedBody + 1}},
+	} {
+		for _, pauseAt := range []time.Duration{0, time.Second, time.Minute} {
+			before := evenly(time.Second, 1, pauseAt)
+			after := append(before, arrival{at: pauseAt + longestHang, bytes: 1})
+			if end, complete := endOf(test.declared, test.first, after, deadline); !complete {
+				t.Errorf("%s, pause after %v: got an end after %v, want it to continue for %v", name, pauseAt, end, longestHang)
+			}
+			if end, _ := endOf(test.declared, test.first, before, deadline); end > pauseAt+latest {
+				t.Errorf("%s, stopped after %v: got an end after %v, want one by %v", name, pauseAt, end, pauseAt+latest)
+			}
+		}
+	}
+}
