Expect 4 KiB/s of a response that may become a long one

A response without a length that its endpoint still sends at the end of its request's time is continued, because it may become a long one.

--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -16,7 +16,7 @@
 	// pauseVariation is the factor by which a pause may exceed the longest one before it in the same response.
 	pauseVariation = 2
 	// minLongResponseRate is the least mean rate, in bytes per second, of a response that may become a long one.
-	minLongResponseRate = 1 << 10
+	minLongResponseRate = 4 << 10
 	// unreadBytesTimeout is how long it takes to read bytes that have arrived.
 	unreadBytesTimeout = 20 * time.Millisecond
 )
