Use one constant for the length of a body that is not declared

http1, exchange and upstream each had a constant UnknownLength, and three fields said "-1" in a comment. Lengths of bodies now use http1.UnknownLength. The one in upstream was the length of a send queue that could not be read: UnknownQueueLength.

--- a/internal/eventloop/shutdown_test.go
+++ b/internal/eventloop/shutdown_test.go
@@ -8,6 +8,7 @@
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/exchange"
+	"cindersaddle/internal/http1"
 	"cindersaddle/internal/sidecartest"
 )
 
@@ -98,7 +99,7 @@
 	body, client := io.Pipe()
 	t.Cleanup(func() { client.Close() })
 	upload := &exchange.Upload{
-		Length: exchange.UnknownLength, Source: body, Budget: &exchange.ReplayBudget{}, SetReadTimeout: func(time.Duration) {},
+		Length: http1.UnknownLength, Source: body, Budget: &exchange.ReplayBudget{}, SetReadTimeout: func(time.Duration) {},
 	}
 	upload.SetFirstBytes([]byte("the beginning"))
 	upload.ObserveArrival = func() { upload.Arrival.NoteWait(time.Now()) }
--- a/internal/exchange/arrivalclock.go
+++ b/internal/exchange/arrivalclock.go
@@ -22,9 +22,6 @@
 	backoffFactor = 2
 )
 
-// UnknownLength is a number of bytes that is not known.
-const UnknownLength = -1
-
 // ArrivalClock determines when the client of an upload may have written the last byte at the earliest. The time limit of the
 // request counts from then, but the byte may be read much later: while the endpoint accepts nothing, the body waits in the
 // receive buffer of the sidecar and in the send buffer of the client, where the sidecar does not see it.
@@ -57,7 +54,7 @@
 // Arrivals is what is known about a body at a time.
 type Arrivals struct {
 	Arrived    int64 // bytes that have arrived, in any way of counting that only grows
-	Missing    int64 // bytes that have not arrived, or UnknownLength
+	Missing    int64 // bytes that have not arrived, or http1.UnknownLength
 	WindowOpen bool  // the receive buffer has so much room that the client can send all that it writes
 	// OutOfOrder counts segments that arrived before earlier ones, which were dropped for lack of room. The client sends those
 	// again some time later.
--- a/internal/exchange/arrivalclock_test.go
+++ b/internal/exchange/arrivalclock_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cindersaddle/internal/http1"
 )
 
 // TestTimeSinceLastByteCountsWhatMayHaveArrived guards against a time limit that runs from the moment at which a body was read:
@@ -28,9 +30,9 @@
 			c.Observe(at(3), Arrivals{Arrived: 4100, Missing: 910})
 		}, at(2)},
 		"more has arrived since than the client's buffer holds": {func(c *ArrivalClock) {
-			c.Observe(at(1), Arrivals{Arrived: 0, Missing: UnknownLength})
-			c.Observe(at(2), Arrivals{Arrived: 900, Missing: UnknownLength})
-			c.Observe(at(3), Arrivals{Arrived: 1001, Missing: UnknownLength})
+			c.Observe(at(1), Arrivals{Arrived: 0, Missing: http1.UnknownLength})
+			c.Observe(at(2), Arrivals{Arrived: 900, Missing: http1.UnknownLength})
+			c.Observe(at(3), Arrivals{Arrived: 1001, Missing: http1.UnknownLength})
 		}, at(1)},
 		"the client can send and bytes are missing": {func(c *ArrivalClock) {
 			c.Observe(at(1), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true})
@@ -63,10 +65,10 @@
 			c.Observe(at(3), Arrivals{Arrived: 10, Missing: 5, WindowOpen: true})
 		}, start},
 		"the client could send, and has sent since": {func(c *ArrivalClock) {
-			c.Observe(at(1), Arrivals{Arrived: 10, Missing: UnknownLength, WindowOpen: true})
-			c.Observe(at(2), Arrivals{Arrived: 10, Missing: UnknownLength, WindowOpen: true})
-			c.Observe(at(3), Arrivals{Arrived: 11, Missing: UnknownLength, WindowOpen: true})
-			c.Observe(at(4), Arrivals{Arrived: 11, Missing: UnknownLength, WindowOpen: true})
+			c.Observe(at(1), Arrivals{Arrived: 10, Missing: http1.UnknownLength, WindowOpen: true})
+			c.Observe(at(2), Arrivals{Arrived: 10, Missing: http1.UnknownLength, WindowOpen: true})
+			c.Observe(at(3), Arrivals{Arrived: 11, Missing: http1.UnknownLength, WindowOpen: true})
+			c.Observe(at(4), Arrivals{Arrived: 11, Missing: http1.UnknownLength, WindowOpen: true})
 		}, at(2)},
 		"wait after the end of the body": {func(c *ArrivalClock) {
 			c.NoteEmpty(at(0), at(1))
@@ -97,7 +99,7 @@
 	clock := &ArrivalClock{SendBuffer: sendBuffer}
 	clock.Start(start, start)
 	for step := range steps {
-		clock.Observe(start.Add(time.Duration(step)*sampleInterval), Arrivals{Arrived: int64(step * perStep), Missing: UnknownLength})
+		clock.Observe(start.Add(time.Duration(step)*sampleInterval), Arrivals{Arrived: int64(step * perStep), Missing: http1.UnknownLength})
 		if len(clock.samples) > maxSamples {
 			t.Fatalf("got %d samples, want at most %d", len(clock.samples), maxSamples)
 		}
--- a/internal/exchange/download.go
+++ b/internal/exchange/download.go
@@ -15,7 +15,7 @@
 type Download struct {
 	FirstBytes []byte             // the part of the body that was read before the Response was delivered
 	Body       io.Reader          // the rest of the body, read from the endpoint, whose time limits it enforces
-	Length     int64              // declared length of the complete body in bytes; -1 if the endpoint declared none
+	Length     int64              // declared length of the complete body in bytes, or http1.UnknownLength
 	Cancel     context.CancelFunc // cancels the attempt
 	Done       chan error         // receives how the download ended; buffered for one value
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -52,7 +52,7 @@
 	"Host": true, "User-Agent": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true,
 }
 
-// bodyLength returns the length of the body in bytes, or -1 if it is unknown.
+// bodyLength returns the length of the body in bytes, or http1.UnknownLength.
 func (m *Message) bodyLength() int64 {
 	if m.Upload != nil {
 		return m.Upload.Length
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -40,7 +40,7 @@
 // again. Package downstream creates the Upload, and each attempt reads it through its own UploadReader. Any goroutine
 // may read Discarded and Received.
 type Upload struct {
-	Length         int64               // length in bytes as declared by the client; -1 if chunked
+	Length         int64               // length in bytes as declared by the client, or http1.UnknownLength
 	Source         io.Reader           // the client's connection
 	SetReadTimeout func(time.Duration) // sets how long the client may take for the next bytes
 	// MarkAwaitingResponse records that the request is complete. It returns an error if the client does not wait for a
--- a/internal/http1/requestscanner.go
+++ b/internal/http1/requestscanner.go
@@ -26,7 +26,7 @@
 	maxLinePrefix = 64
 	// maxLengthBits is the number of bits of the largest Content-Length, which must fit into an int64.
 	maxLengthBits = 63
-	// UnknownLength is a length that the head does not give.
+	// UnknownLength is the length of a body that is not declared.
 	UnknownLength = -1
 )
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -43,13 +43,13 @@
 	NoRetry bool
 }
 
-// UnknownLength is the length of a send queue that could not be read.
-const UnknownLength = -1
+// UnknownQueueLength is the length of a send queue that could not be read.
+const UnknownQueueLength = -1
 
 // SentUpload describes a streamed request body whose last byte the kernel has accepted.
 type SentUpload struct {
 	At             time.Time // just before the last byte was written
-	Unacknowledged int       // bytes that the endpoint's machine had not acknowledged after the write, or UnknownLength
+	Unacknowledged int       // bytes that the endpoint's machine had not acknowledged after the write, or UnknownQueueLength
 }
 
 // Observer is notified of the progress of an attempt. The goroutines of the attempt call its methods, which must not block
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -43,15 +43,15 @@
 	return err
 }
 
-// unacknowledged returns how many of the written bytes the endpoint's machine has not acknowledged, or UnknownLength.
+// unacknowledged returns how many of the written bytes the endpoint's machine has not acknowledged, or UnknownQueueLength.
 func (c *endpointConn) unacknowledged() int {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return UnknownLength
+		return UnknownQueueLength
 	}
 	count, err := socket.Unacknowledged(raw)
 	if err != nil {
-		return UnknownLength
+		return UnknownQueueLength
 	}
 	return count
 }
--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -44,7 +44,7 @@
 // maxResponsePause ends. As long as the length is unknown, the time limit of a short response applies, unless the endpoint still
 // sends after it, as it has before: not slower than minLongResponseRate, and without a pause much longer than the ones before.
 type responseLimit struct {
-	declared     int64         // length of the body, or a negative number if the endpoint declares none
+	declared     int64         // length of the body, or http1.UnknownLength
 	startedAt    time.Time     // when the first bytes had arrived
 	received     int64         // bytes of the body that have arrived
 	long         bool          // more than http1.MaxBufferedBody bytes have arrived or are announced
@@ -75,7 +75,7 @@
 	switch {
 	case l.long:
 		return lengthLong
-	case l.declared >= 0:
+	case l.declared != http1.UnknownLength:
 		return lengthShort
 	}
 	return lengthUnknown
--- a/internal/upstream/responselimit_test.go
+++ b/internal/upstream/responselimit_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/http1"
 )
 
@@ -51,14 +50,14 @@
 		first    arrival
 		arrivals []arrival
 	}{
-		"at once":                             {exchange.UnknownLength, arrival{bytes: 6}, nil},
-		"nothing but the size of a chunk":     {exchange.UnknownLength, arrival{announced: 28}, nil},
-		"after many bytes":                    {exchange.UnknownLength, arrival{bytes: http1.MaxBufferedBody}, nil},
-		"in a chunk that may be the last one": {exchange.UnknownLength, arrival{bytes: 6, announced: http1.MaxBufferedBody - 6}, nil},
-		"just before the deadline":            {exchange.UnknownLength, arrival{bytes: 6}, []arrival{{at: 1990 * time.Millisecond, bytes: 6}}},
-		"after pieces":                        {exchange.UnknownLength, arrival{bytes: 1000}, evenly(10*time.Millisecond, 10, 1950*time.Millisecond)},
-		"after long pauses":                   {exchange.UnknownLength, arrival{bytes: 1}, evenly(900*time.Millisecond, 1, 1800*time.Millisecond)},
-		"never, but slowly":                   {exchange.UnknownLength, arrival{bytes: 1}, evenly(100*time.Millisecond, 1, time.Minute)},
+		"at once":                             {http1.UnknownLength, arrival{bytes: 6}, nil},
+		"nothing but the size of a chunk":     {http1.UnknownLength, arrival{announced: 28}, nil},
+		"after many bytes":                    {http1.UnknownLength, arrival{bytes: http1.MaxBufferedBody}, nil},
+		"in a chunk that may be the last one": {http1.UnknownLength, arrival{bytes: 6, announced: http1.MaxBufferedBody - 6}, nil},
+		"just before the deadline":            {http1.UnknownLength, arrival{bytes: 6}, []arrival{{at: 1990 * time.Millisecond, bytes: 6}}},
+		"after pieces":                        {http1.UnknownLength, arrival{bytes: 1000}, evenly(10*time.Millisecond, 10, 1950*time.Millisecond)},
+		"after long pauses":                   {http1.UnknownLength, arrival{bytes: 1}, evenly(900*time.Millisecond, 1, 1800*time.Millisecond)},
+		"never, but slowly":                   {http1.UnknownLength, arrival{bytes: 1}, evenly(100*time.Millisecond, 1, time.Minute)},
 		"declared, in the middle":             {http1.MaxBufferedBody, arrival{bytes: 40_000}, nil},
 		"declared, never, but slowly":         {http1.MaxBufferedBody, arrival{bytes: 1}, evenly(100*time.Millisecond, 200, time.Minute)},
 	} {
@@ -79,7 +78,7 @@
 		"longer pauses at last": {{at: 800 * time.Millisecond, bytes: 9000}, {at: 2300 * time.Millisecond, bytes: 60_000}},
 		"announced":             {{at: 10 * time.Millisecond, bytes: 1, announced: 100_000}, {at: 4900 * time.Millisecond, bytes: 100_000}},
 	} {
-		if end, complete := endOf(exchange.UnknownLength, arrival{bytes: 10}, arrivals, deadline); !complete {
+		if end, complete := endOf(http1.UnknownLength, arrival{bytes: 10}, arrivals, deadline); !complete {
 			t.Errorf("%s: got an end after %v, before the endpoint had sent everything", name, end)
 		}
 	}
@@ -95,9 +94,9 @@
 	}{
 		"declared, at the first byte": {http1.MaxBufferedBody + 1, arrival{bytes: 1}},
 		"declared, in the middle":     {32 << 20, arrival{bytes: 16 << 20}},
-		"announced by a chunk":        {exchange.UnknownLength, arrival{bytes: 1, announced: http1.MaxBufferedBody}},
-		"by a chunk of any size":      {exchange.UnknownLength, arrival{bytes: 1, announced: math.MaxInt64}},
-		"more has arrived":            {exchange.UnknownLength, arrival{bytes: http1.MaxBufferedBody + 1}},
+		"announced by a chunk":        {http1.UnknownLength, arrival{bytes: 1, announced: http1.MaxBufferedBody}},
+		"by a chunk of any size":      {http1.UnknownLength, arrival{bytes: 1, announced: math.MaxInt64}},
+		"more has arrived":            {http1.UnknownLength, arrival{bytes: http1.MaxBufferedBody + 1}},
 	} {
 		for _, pauseAt := range []time.Duration{0, time.Second, time.Minute} {
 			before := evenly(time.Second, 1, pauseAt)
