Ask for the deadline of a streamed response only where it counts

requestDeadline was worked out for each read of a streamed response, although it counts for none that is known to be long; while the request body is still being sent, that takes a lock and up to two system calls. responseLimit now has the deadline as a function and calls it where it is used, once. The type responseLength repeated what the fields long and declared say, and is gone. No limit changes; the tests of the package passed with their assertions unchanged.

--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -29,33 +29,26 @@
 	errResponseStalled = errors.New("endpoint stopped in the middle of a long response")
 )
 
-// responseLength is what is known about the length of a streamed response.
-type responseLength int
-
-const (
-	lengthShort   responseLength = iota // at most http1.MaxBufferedBody bytes
-	lengthLong                          // more
-	lengthUnknown                       // not declared; more than http1.MaxBufferedBody bytes may follow
-)
-
 // responseLimit determines how long to wait for the next bytes of a streamed response.
 //
-// The time of a request ends with the last byte of a short response, but with the first bytes of a long one, which only a pause of
-// maxResponsePause ends. As long as the length is unknown, the time limit of a short response applies, unless the endpoint still
-// sends after it, as it has before: not slower than minLongResponseRate, and without a pause much longer than the ones before.
+// A response is short if it has at most http1.MaxBufferedBody bytes, otherwise long. The time of a request ends with the last byte
+// of a short response, but with the first bytes of a long one, which only a pause of maxResponsePause ends. As long as the length
+// is unknown, the time limit of a short response applies, unless the endpoint still sends after it, as it has before: not slower
+// than minLongResponseRate, and without a pause much longer than the ones before.
 type responseLimit struct {
-	declared     int64         // length of the body, or http1.UnknownLength
-	startedAt    time.Time     // when the first bytes had arrived
-	received     int64         // bytes of the body that have arrived
-	long         bool          // more than http1.MaxBufferedBody bytes have arrived or are announced
-	longestPause time.Duration // between two parts of the body
+	declared     int64            // length of the body, or http1.UnknownLength
+	deadline     func() time.Time // returns the end of the request's time, which may move while the request is sent
+	startedAt    time.Time        // when the first bytes had arrived
+	received     int64            // bytes of the body that have arrived
+	long         bool             // the response is known to be long: more has arrived, is announced or is declared
+	longestPause time.Duration    // between two parts of the body
 }
 
-// newResponseLimit returns the limit of a response whose first bytes have arrived.
-func newResponseLimit(declared int64, firstBytes int, announced int64, now time.Time) responseLimit {
-	limit := responseLimit{declared: declared, startedAt: now, long: declared > http1.MaxBufferedBody}
-	limit.record(firstBytes, announced, 0)
-	return limit
+// newResponseLimit returns the limit of a response of which nothing has been recorded. Its first bytes have arrived now.
+func newResponseLimit(declared int64, deadline func() time.Time, now time.Time) responseLimit {
+	return responseLimit{
+		declared: declared, deadline: deadline, startedAt: now, long: declared > http1.MaxBufferedBody,
+	}
 }
 
 // record records bytes of the body that arrived after a pause. announced is the number of further bytes that the endpoint has
@@ -70,23 +63,12 @@
 	}
 }
 
-// length returns what is known about the length of the response.
-func (l *responseLimit) length() responseLength {
-	switch {
-	case l.long:
-		return lengthLong
-	case l.declared != http1.UnknownLength:
-		return lengthShort
-	}
-	return lengthUnknown
-}
-
-// waitUntil returns until when to wait for the next bytes, for which the endpoint has been waited for since waitingSince. deadline
-// is the end of the request's time.
-func (l *responseLimit) waitUntil(deadline, waitingSince time.Time) time.Time {
-	if l.length() == lengthLong {
+// waitUntil returns until when to wait for the next bytes, for which the endpoint has been waited for since waitingSince.
+func (l *responseLimit) waitUntil(waitingSince time.Time) time.Time {
+	if l.long {
 		return waitingSince.Add(maxResponsePause)
 	}
+	deadline := l.deadline()
 	end := waitingSince.Add(l.allowedPause(deadline, waitingSince))
 	if end.Before(deadline) {
 		return deadline
@@ -96,7 +78,7 @@
 
 // allowedPause returns how long a response that may be short may pause after the end of its request's time.
 func (l *responseLimit) allowedPause(deadline, waitingSince time.Time) time.Duration {
-	if l.length() == lengthUnknown && l.mayBecomeLong(waitingSince) {
+	if l.mayBecomeLong(waitingSince) {
 		return max(lateResponseGrace, pauseVariation*l.longestPause)
 	}
 	if waitingSince.Before(deadline.Add(lateResponseGrace)) {
@@ -105,14 +87,15 @@
 	return unreadBytesTimeout
 }
 
-// mayBecomeLong reports whether the response arrives fast enough to become a long one.
+// mayBecomeLong reports whether the response is of unknown length and arrives fast enough to become a long one.
 func (l *responseLimit) mayBecomeLong(now time.Time) bool {
-	return float64(l.received) >= minLongResponseRate*now.Sub(l.startedAt).Seconds()
+	return l.declared == http1.UnknownLength &&
+		float64(l.received) >= minLongResponseRate*now.Sub(l.startedAt).Seconds()
 }
 
 // overdueError returns the error of a response that has passed its limit.
 func (l *responseLimit) overdueError() error {
-	if l.length() == lengthLong {
+	if l.long {
 		return errResponseStalled
 	}
 	return errResponseOverdue
--- a/internal/upstream/responselimit_test.go
+++ b/internal/upstream/responselimit_test.go
@@ -28,17 +28,18 @@
 // arrivals were waited for.
 func endOf(declared int64, first arrival, arrivals []arrival, deadline time.Duration) (end time.Duration, complete bool) {
 	start := time.Now()
-	limit := newResponseLimit(declared, first.bytes, first.announced, start)
+	limit := newResponseLimit(declared, func() time.Time { return start.Add(deadline) }, start)
+	limit.record(first.bytes, first.announced, 0)
 	waitingSince := time.Duration(0)
 	for _, next := range arrivals {
-		end = limit.waitUntil(start.Add(deadline), start.Add(waitingSince)).Sub(start)
+		end = limit.waitUntil(start.Add(waitingSince)).Sub(start)
 		if end < next.at {
 			return end, false
 		}
 		limit.record(next.bytes, next.announced, next.at-waitingSince)
 		waitingSince = next.at
 	}
-	return limit.waitUntil(start.Add(deadline), start.Add(waitingSince)).Sub(start), true
+	return limit.waitUntil(start.Add(waitingSince)).Sub(start), true
 }
 
 // TestStoppedShortResponseEndsInTime guards against a client that waits past its time for the rest of a short response, or of one
--- a/internal/upstream/streamedbody.go
+++ b/internal/upstream/streamedbody.go
@@ -19,7 +19,8 @@
 
 // newStreamedBody returns the rest of a response whose first bytes have been read.
 func newStreamedBody(attempt *Attempt, conn *endpointConn, response http1.Response) *streamedBody {
-	limit := newResponseLimit(response.Head.ContentLength, len(response.Body), response.AnnouncedBytes(), time.Now())
+	limit := newResponseLimit(response.Head.ContentLength, attempt.requestDeadline, time.Now())
+	limit.record(len(response.Body), response.AnnouncedBytes(), 0)
 	return &streamedBody{attempt: attempt, conn: conn, response: response, limit: limit}
 }
 
@@ -27,7 +28,7 @@
 func (b *streamedBody) Read(buffer []byte) (int, error) {
 	waitingSince := time.Now()
 	for {
-		b.attempt.setReadDeadline(b.conn, b.limit.waitUntil(b.attempt.requestDeadline(), waitingSince))
+		b.attempt.setReadDeadline(b.conn, b.limit.waitUntil(waitingSince))
 		n, err := b.response.Head.Body.Read(buffer)
 		now := time.Now()
 		b.limit.record(n, b.response.AnnouncedBytes(), now.Sub(waitingSince))
@@ -35,7 +36,7 @@
 			return n, err
 		}
 		// The limit may have changed while the endpoint was waited for, and others set the deadline of the connection, too.
-		if !now.Before(b.limit.waitUntil(b.attempt.requestDeadline(), waitingSince)) {
+		if !now.Before(b.limit.waitUntil(waitingSince)) {
 			return 0, b.limit.overdueError()
 		}
 	}
