Give the connection tracker a state by default, and drop an accessor

A tracker without a state never shuts down; it now has an empty one, as it has a log that discards, so limitToShutdown needs no check. AnnouncedBytes reads the chunk's remaining size itself. uploadDeadline says that it marks a late request. No behaviour changes.

--- a/internal/downstream/memory.go
+++ b/internal/downstream/memory.go
@@ -123,9 +123,6 @@
 // limitToShutdown returns until when a request that has not been read completely may wait for memory, if not for a shutdown it
 // may wait until deadline. Late in a shutdown, it must have its response before the process may be killed.
 func (t *ConnTracker) limitToShutdown(deadline time.Time) time.Time {
-	if t.State == nil {
-		return deadline
-	}
 	respondBy, late := t.State.Shutdown.Load().ResponseLimit(time.Now())
 	if late && respondBy.Before(deadline) {
 		return respondBy
--- a/internal/downstream/tracker.go
+++ b/internal/downstream/tracker.go
@@ -36,8 +36,7 @@
 	// Memory is the budget that connections and heads count against; nil means no limit. It must be set before the first
 	// connection is added.
 	Memory *memory.Budget
-	// State says whether the process is shutting down; nil means that it never does. It must be set before the first
-	// connection is added.
+	// State says whether the process is shutting down. It must be set before the first connection is added.
 	State *exchange.ServiceState
 
 	// BeforeRead, if set, is called before each read from a connection, with the address of the client. It is for tests
@@ -54,7 +53,8 @@
 // NewConnTracker returns a tracker that admits at most maxConns connections.
 func NewConnTracker(maxConns int) *ConnTracker {
 	return &ConnTracker{
-		maxConns: maxConns, Log: slog.New(slog.DiscardHandler), refusalLogs: logging.NewLimiter(refusalLogInterval),
+		maxConns: maxConns, State: &exchange.ServiceState{}, Log: slog.New(slog.DiscardHandler),
+		refusalLogs: logging.NewLimiter(refusalLogInterval),
 	}
 }
 
--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -78,7 +78,8 @@
 	l.timers.schedule(timer{dueAt: dueAt, request: req})
 }
 
-// uploadDeadline returns the deadline of a request in stateUploading if no more of its body arrives.
+// uploadDeadline returns the deadline of a request in stateUploading if no more of its body arrives. It marks the request if it is
+// late in a shutdown.
 func (l *Loop) uploadDeadline(req *request) balance.Milliseconds {
 	lastByteAt := l.clock.toMilliseconds(req.exchange.Message.Upload.EarliestLastByte())
 	return l.limitLateUpload(req, lastByteAt+req.exchange.Request.Remaining)
--- a/internal/http1/chunked.go
+++ b/internal/http1/chunked.go
@@ -61,9 +61,6 @@
 // Close does nothing. It makes ChunkedReader an io.ReadCloser.
 func (c *ChunkedReader) Close() error { return nil }
 
-// announcedBytes returns how many bytes of the current chunk have not been read.
-func (c *ChunkedReader) announcedBytes() int64 { return int64(c.chunkRemaining) }
-
 // recordError stores a permanent error and returns err. An expired deadline is not permanent: more bytes may arrive
 // before the next deadline.
 func (c *ChunkedReader) recordError(err error) error {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -44,7 +44,7 @@
 // is 0 if the body is not chunked.
 func (r Response) AnnouncedBytes() int64 {
 	if chunked, ok := r.Head.Body.(*ChunkedReader); ok {
-		return chunked.announcedBytes()
+		return int64(chunked.chunkRemaining)
 	}
 	return 0
 }
