Hold a response without a length until it is complete or known to be long

What callers saw: a long response without a length broke off at the end of the request's time, while the endpoint still wrote.

Cause: such a response was forwarded 20 ms after its head. Once bytes are forwarded, silence at the end of the time leaves no right choice: a short response has to be ended then, a long one must not be. Another moment only moves the fault to other pauses.

Change: what has not been forwarded can still be answered with an error, which is final for both. The response is held (up to 64 KiB, charged to the memory budget) until it is complete, known to be long (bytes arrived or announced), or 0.3 s after the request's time, where the request fails. The balancer and the loop's guard let a request live that long only for such a response; a shutdown shortens it. A response that is forwarded undecided is decided once, 0.3 s after the time: it ends if its endpoint has stopped, and else counts as long, because a later end saves no short one.

Cost: first bytes of long responses without a length come when 64 KiB have arrived.

--- a/balance/attempts.go
+++ b/balance/attempts.go
@@ -15,6 +15,7 @@
 	overdue         bool // it takes far longer than usual for its class
 	countedAsLoad   bool // it is counted in the endpoint's load or in the overdue load
 	resultRecorded  bool // its result was recorded when its response started
+	lengthUnknown   bool // its response has started, and its length is not known
 	cancelledAsLost bool // cancelled because it is presumed lost or its zone is unreachable
 	// inFlightBefore is the number of requests in flight at the endpoint before the attempt was sent,
 	// according to a fresh load report, or unknownInFlight.
@@ -143,6 +144,7 @@
 	if req == nil || ev.Attempt >= len(req.attempts) {
 		return
 	}
+	req.attempts[ev.Attempt].lengthUnknown = ev.LengthUnknown
 	b.recordResponseStart(req, ev.Attempt, ev.Latency)
 	b.advanceRequest(req)
 }
--- a/balance/events.go
+++ b/balance/events.go
@@ -129,6 +129,9 @@
 	Request RequestID
 	Attempt int
 	Latency Milliseconds
+	// LengthUnknown is set if it may take until LateResponseGrace after the deadline to decide whether the
+	// response can be forwarded.
+	LengthUnknown bool
 }
 
 // StreamStarted reports that a streamed response has started. The client decides how long the stream lasts.
--- a/balance/progress.go
+++ b/balance/progress.go
@@ -21,7 +21,7 @@
 	}
 	b.markOverdue(req)
 	b.cancelLostAttempts(req)
-	if b.now >= req.deadline || req.inFlight == 0 && b.attemptsRuledOut(req) {
+	if b.now >= req.endsAt() || req.inFlight == 0 && b.attemptsRuledOut(req) {
 		b.rejectOrFail(req)
 		return
 	}
@@ -93,7 +93,7 @@
 // scheduleTimer sets a timer for the next time at which the request must be advanced, unless an earlier timer
 // is set already.
 func (b *Balancer) scheduleTimer(req *request) {
-	next := req.deadline
+	next := req.endsAt()
 	if req.awaitChecksUntil > b.now {
 		next = min(next, req.awaitChecksUntil)
 	} else if req.inFlight == 0 {
--- a/internal/eventloop/arrival.go
+++ b/internal/eventloop/arrival.go
@@ -66,7 +66,7 @@
 func (l *Loop) startDeadline(req *request, completeAt time.Time) {
 	l.limitLateRequest(req, completeAt)
 	req.setDeadline(l.clock.now)
-	l.timers.schedule(timer{dueAt: req.deadline + deadlineSlack, request: req})
+	l.timers.schedule(timer{dueAt: req.expiresAt(), request: req})
 }
 
 // uploadCheckInterval is the longest time between two checks of how much of a long body has arrived.
@@ -92,9 +92,7 @@
 	switch {
 	case !req.awaitsResponse():
 	case !req.isUploading():
-		if l.clock.now >= req.deadline {
-			l.expireRequest(req, slog.LevelError, reasonDeadlineExceeded)
-		}
+		l.checkDeadline(req)
 	case req.exchange.Message.ClientDisconnected():
 		l.logUnserved(req, slog.LevelInfo, reasonClientDisconnected)
 		l.finishWithoutBalancer(req, &exchange.Response{Abort: true})
@@ -103,6 +101,18 @@
 	}
 }
 
+// checkDeadline fails a complete request after its deadline. Its deadline may have moved since its timer was set.
+func (l *Loop) checkDeadline(req *request) {
+	if l.clock.now < req.deadline {
+		return
+	}
+	if req.lengthUnknown && l.clock.now < req.expiresAt() {
+		l.timers.schedule(timer{dueAt: req.expiresAt(), request: req})
+		return
+	}
+	l.expireRequest(req, slog.LevelError, reasonDeadlineExceeded)
+}
+
 // checkUploadDeadline fails a request in stateUploading after its deadline, and sets its timer again before.
 func (l *Loop) checkUploadDeadline(req *request) {
 	deadline := l.uploadDeadline(req)
--- a/internal/eventloop/attemptend.go
+++ b/internal/eventloop/attemptend.go
@@ -10,6 +10,7 @@
 	ev.attempt.Cancel()
 	req := l.requests.byID[ev.attempt.RequestID]
 	req.attempts.markEnded()
+	req.lengthUnknown = false
 	if !ev.outcome.Incomplete && !ev.outcome.Result.NeverExecuted() {
 		req.mayHaveRun = true
 	}
--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -40,6 +40,7 @@
 		PostUploadTimeout: req.timeAfterUpload(l.clock.now).Duration(),
 		Observer:          l,
 		LoopDone:          l.ctx.Done(),
+		Shutdown:          &l.serviceState.Shutdown,
 	}
 	if action.SendBy > 0 {
 		attempt.SendBy = l.clock.toTime(min(action.SendBy, deadline))
--- a/internal/eventloop/events_upstream.go
+++ b/internal/eventloop/events_upstream.go
@@ -29,21 +29,24 @@
 
 // responseStarted reports that the head of a successful response arrived.
 type responseStarted struct {
-	attempt   *upstream.Attempt
-	startedAt time.Time
+	attempt  *upstream.Attempt
+	response upstream.StartedResponse
 }
 
 func (ev responseStarted) apply(l *Loop) {
+	req := l.requests.byID[ev.attempt.RequestID]
+	req.lengthUnknown = ev.response.LengthUnknown && !req.lateInShutdown
 	l.notifyBalancer(balance.ResponseStarted{
-		Request: ev.attempt.RequestID,
-		Attempt: ev.attempt.Number,
-		Latency: l.clock.toMilliseconds(ev.startedAt) - ev.attempt.SentAt,
+		Request:       ev.attempt.RequestID,
+		Attempt:       ev.attempt.Number,
+		Latency:       l.clock.toMilliseconds(ev.response.At) - ev.attempt.SentAt,
+		LengthUnknown: req.lengthUnknown,
 	})
 }
 
 // ResponseStarted tells the loop that the head of a successful response arrived.
-func (l *Loop) ResponseStarted(attempt *upstream.Attempt, startedAt time.Time) {
-	l.inbox.post(responseStarted{attempt: attempt, startedAt: startedAt})
+func (l *Loop) ResponseStarted(attempt *upstream.Attempt, response upstream.StartedResponse) {
+	l.inbox.post(responseStarted{attempt: attempt, response: response})
 }
 
 // streamStarted reports a streamed response whose first bytes are ready for the client.
--- a/internal/eventloop/request.go
+++ b/internal/eventloop/request.go
@@ -39,6 +39,9 @@
 	state      requestState
 	idClaimed  bool // its trace ID is in Loop.executedIDs
 	mayHaveRun bool // an attempt has ended without proof that it was not executed
+	// lengthUnknown means that an attempt in flight awaits the rest of a response of unknown length, which may be decided only
+	// balance.LateResponseGrace after the deadline.
+	lengthUnknown bool
 	// lateInShutdown means that the request was not complete before a shutdown was late (limitLateRequest,
 	// limitLateUpload): its time is limited, and it gets no streamed response, so that it ends before the process may
 	// be killed.
--- a/internal/eventloop/requesttime.go
+++ b/internal/eventloop/requesttime.go
@@ -35,6 +35,14 @@
 	return r.deadline - now
 }
 
+// expiresAt returns when a complete request fails that the balancer has not finished.
+func (r *request) expiresAt() balance.Milliseconds {
+	if r.lengthUnknown {
+		return r.deadline + balance.LateResponseGrace + deadlineSlack
+	}
+	return r.deadline + deadlineSlack
+}
+
 // timeAfterUpload returns how long an attempt that starts now may take after it has sent the last byte of the request.
 func (r *request) timeAfterUpload(now balance.Milliseconds) balance.Milliseconds {
 	if r.isUploading() {
--- a/internal/http1/observer.go
+++ b/internal/http1/observer.go
@@ -3,35 +3,39 @@
 // ResponseObserver is notified of the progress of a response. The goroutine that calls ResponseReader.Next calls its
 // methods.
 type ResponseObserver interface {
-	// ResponseStarted is called when the head of a response with status 200 has arrived, but not its complete body.
-	ResponseStarted()
+	// ResponseStarted is called when the head of a response with status 200 has arrived, but not its complete body. length is
+	// the declared length of the body, or UnknownLength.
+	ResponseStarted(length int64)
 	// ReserveBody reserves memory for more bytes of the body. If it returns false, the body is streamed instead of buffered.
 	ReserveBody(bytes int) bool
-	// ShortenDeadline is called before a read that should finish soon. It sets a shorter read deadline.
-	ShortenDeadline()
-	// ShortenedDeadlineExpired is called after a read that ended with an expired deadline, and reports whether that
-	// was the deadline of ShortenDeadline. A cancellation and the usual deadline end a read with the same error, but
-	// then the rest of the response is no longer needed.
-	ShortenedDeadlineExpired() bool
-	// RestoreDeadline is called after the read that follows ShortenDeadline, and may be called again later. It sets the
-	// usual deadline again.
-	RestoreDeadline()
+	// AwaitBody is called before each read of a body of unknown length of which received bytes have arrived, and returns what
+	// to do next. For KeepReading it sets the deadline of the read. expired is true if the deadline of the last read has expired.
+	AwaitBody(received int, expired bool) BodyStep
 }
 
+// BodyStep is what to do with a body of unknown length that is not complete.
+type BodyStep uint8
+
+// The steps of reading a body of unknown length.
+const (
+	KeepReading BodyStep = iota // keep what has arrived and wait for more
+	StreamBody                  // stream the body, beginning with what has arrived
+	FailBody                    // discard what has arrived: the response has failed
+)
+
 // NopResponseObserver is a ResponseObserver that does nothing.
 type NopResponseObserver struct{}
 
 // ResponseStarted does nothing.
-func (NopResponseObserver) ResponseStarted() {}
+func (NopResponseObserver) ResponseStarted(int64) {}
 
 // ReserveBody returns true.
 func (NopResponseObserver) ReserveBody(int) bool { return true }
 
-// ShortenDeadline does nothing.
-func (NopResponseObserver) ShortenDeadline() {}
-
-// ShortenedDeadlineExpired returns false, because ShortenDeadline sets no deadline.
-func (NopResponseObserver) ShortenedDeadlineExpired() bool { return false }
-
-// RestoreDeadline does nothing.
-func (NopResponseObserver) RestoreDeadline() {}
+// AwaitBody returns KeepReading until the deadline of a read has expired.
+func (NopResponseObserver) AwaitBody(_ int, expired bool) BodyStep {
+	if expired {
+		return FailBody
+	}
+	return KeepReading
+}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -15,8 +15,6 @@
 	// maxChunkedSizeRatio is the largest ratio of the size of a chunked body to the size of its data. It allows for
 	// chunks of a single byte.
 	maxChunkedSizeRatio = 8
-	// firstPartSize is the maximum size in bytes of the first part of a streamed body that begins late.
-	firstPartSize = 4 << 10
 	// firstFinalStatus is the lowest status code of a final response; lower codes are those of interim responses.
 	firstFinalStatus = 200
 )
@@ -42,8 +40,11 @@
 
 // AnnouncedBytes returns how many further bytes of a streamed body the endpoint has announced by the size of the current chunk. It
 // is 0 if the body is not chunked.
-func (r Response) AnnouncedBytes() int64 {
-	if chunked, ok := r.Head.Body.(*ChunkedReader); ok {
+func (r Response) AnnouncedBytes() int64 { return announcedBytes(r.Head) }
+
+// announcedBytes is Response.AnnouncedBytes for a response whose body is being read.
+func announcedBytes(resp *http.Response) int64 {
+	if chunked, ok := resp.Body.(*ChunkedReader); ok {
 		return int64(chunked.chunkRemaining)
 	}
 	return 0
@@ -52,15 +53,13 @@
 // Next reads the response to a request with the given method. It also reads the complete body, unless the body is
 // streamed:
 //   - A body with a Content-Length is streamed if the length exceeds MaxBufferedBody. Response.Body is empty then.
-//   - A body of unknown length is streamed if more than MaxBufferedBody bytes arrive.
-//   - In a response with status 200, a body of unknown length is also streamed if it is not complete before the
-//     deadline that observer.ShortenDeadline sets, because its length cannot be predicted. An expired deadline
-//     counts only if observer.ShortenedDeadlineExpired returns true. If no byte of the body has arrived by then, Next
-//     waits for the first one until the usual deadline.
+//   - A body of unknown length is streamed if more than MaxBufferedBody bytes arrive or are announced by the size of a chunk.
+//   - In a response with status 200, a body of unknown length is also streamed, or fails, if observer.AwaitBody says so.
+//   - A body for which there is no memory is streamed.
 //
 // Next returns an error if the head is malformed, if the head of a response with status 200 does not define where the
 // body ends, or if the body ends early. It returns a *SizeError if the head is too large or the Content-Length exceeds
-// MaxBody.
+// MaxBody, and os.ErrDeadlineExceeded if observer.AwaitBody fails the body.
 func (r ResponseReader) Next(method string, observer ResponseObserver) (Response, error) {
 	resp, err := r.readHead(method)
 	if err != nil {
@@ -73,7 +72,7 @@
 		return Response{}, &SizeError{Part: PartBody, Limit: MaxBody}
 	}
 	if resp.StatusCode == http.StatusOK && !r.bufferHoldsBody(resp) {
-		observer.ResponseStarted()
+		observer.ResponseStarted(resp.ContentLength)
 	}
 	r.limitedSource.setLimit(PartBody, maxChunkedSizeRatio*MaxBufferedBody)
 	if resp.ContentLength > MaxBufferedBody {
@@ -95,24 +94,11 @@
 func (r ResponseReader) readBody(
 	resp *http.Response, observer ResponseObserver,
 ) (body []byte, streamed bool, err error) {
-	mayStream := resp.StatusCode == http.StatusOK && resp.ContentLength < 0
-	if mayStream {
-		observer.ShortenDeadline()
-		defer observer.RestoreDeadline()
-	}
-	body, streamed, err = bufferBody(resp, observer)
-	if mayStream && errors.Is(err, os.ErrDeadlineExceeded) && observer.ShortenedDeadlineExpired() {
-		observer.RestoreDeadline()
-		if len(body) == 0 {
-			body, err = readFirstPart(resp.Body)
-		} else {
-			err = nil
-		}
-		streamed = err == nil
-		if err == io.EOF {
-			err = nil
-		}
+	await := NopResponseObserver{}.AwaitBody
+	if resp.StatusCode == http.StatusOK && resp.ContentLength < 0 {
+		await = observer.AwaitBody
 	}
+	body, streamed, err = bufferBody(resp, observer, await)
 	if streamed {
 		r.limitedSource.setLimit(PartBody, noLimit) // the client reads the rest, of any length
 	}
@@ -122,13 +108,22 @@
 // freeBodyBytes is the size of a body in bytes up to which no memory is reserved for it.
 const freeBodyBytes = 4 << 10
 
-// bufferBody reads a body until its end, until it is longer than MaxBufferedBody, or until there is no memory for more of it. In
-// the last two cases it reports that the body must be streamed.
-func bufferBody(resp *http.Response, observer ResponseObserver) (body []byte, streamed bool, err error) {
+// bufferBody reads a body until its end, until it is known to be longer than MaxBufferedBody, until there is no memory for more of
+// it, or until await returns StreamBody. In all cases but the first it reports that the body must be streamed.
+func bufferBody(
+	resp *http.Response, observer ResponseObserver, await func(received int, expired bool) BodyStep,
+) (body []byte, streamed bool, err error) {
 	body = make([]byte, 0, bodyCapacity(0, resp.ContentLength))
+	expired := false
 	for {
-		if len(body) > MaxBufferedBody {
+		if longBody(resp, len(body)) {
+			return body, true, nil
+		}
+		switch await(len(body), expired) {
+		case StreamBody:
 			return body, true, nil
+		case FailBody:
+			return body, false, os.ErrDeadlineExceeded
 		}
 		if len(body) == cap(body) {
 			grown := bodyCapacity(cap(body), resp.ContentLength)
@@ -142,12 +137,18 @@
 		if err == io.EOF {
 			return body, len(body) > MaxBufferedBody, nil
 		}
-		if err != nil {
+		expired = errors.Is(err, os.ErrDeadlineExceeded)
+		if err != nil && !expired {
 			return body, false, err
 		}
 	}
 }
 
+// longBody reports whether a body is longer than MaxBufferedBody, judging by the bytes that have been received and announced.
+func longBody(resp *http.Response, received int) bool {
+	return received > 0 && announcedBytes(resp) > int64(MaxBufferedBody-received)
+}
+
 // bodyCapacity returns the next capacity of the buffer of a body: at first freeBodyBytes, then the declared length or, if that is
 // unknown, twice the current capacity, but no more than one byte more than a buffered body may have.
 func bodyCapacity(current int, declared int64) int {
@@ -160,20 +161,6 @@
 	return min(2*current, MaxBufferedBody+1)
 }
 
-// readFirstPart waits for the first bytes of a body and returns them. It returns io.EOF for an empty body.
-func readFirstPart(body io.Reader) ([]byte, error) {
-	buffer := make([]byte, firstPartSize)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			return buffer[:n], nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // readHead skips interim responses and reads the head of the final response.
 func (r ResponseReader) readHead(method string) (*http.Response, error) {
 	r.limitedSource.setLimit(PartHead, maxResponseHead)
--- a/internal/soak/overdue_test.go
+++ b/internal/soak/overdue_test.go
@@ -28,7 +28,7 @@
 	// raceJitterBefore is the fraction of the period that is before that time.
 	raceJitter       = 3 * time.Millisecond
 	raceJitterBefore = 0.6
-	// raceBodyPause is the pause between the parts of a body. It is shorter than unknownLengthGrace of package upstream.
+	// raceBodyPause is the pause between the parts of a body. It is shorter than maxResponseHold of package upstream.
 	raceBodyPause = 12 * time.Millisecond
 )
 
@@ -36,7 +36,7 @@
 // unknown length arrives just as the balancer cancels the attempt as overdue, to retry it at another endpoint.
 //
 // A cancellation interrupts the read of a response by setting a read deadline in the past. If the reader mistakes that
-// for the end of unknownLengthGrace, it streams the part of the body that it has. The event loop then passes this part
+// for the end of maxResponseHold, it streams the part of the body that it has. The event loop then passes this part
 // on as the final response of an attempt that it has cancelled. The next read fails, and the client's connection is
 // closed without a complete response: in one run 84 ms after its only endpoint received the request, which it had
 // executed within 10 ms. In a repetition of that run, the sidecar cancelled an attempt as overdue after 67 ms.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -25,6 +25,8 @@
 	Cancel            context.CancelFunc
 	Observer          Observer
 	LoopDone          <-chan struct{} // closed when the event loop ends
+	// Shutdown holds the time limits of a shutdown, or nil before it begins.
+	Shutdown *atomic.Pointer[exchange.ShutdownTimes]
 
 	// RequestDone is set by the event loop when the request has its final response: the attempt must send nothing more.
 	RequestDone atomic.Bool
@@ -32,6 +34,7 @@
 	requestWritten  atomic.Bool               // the kernel has accepted the last byte of the request
 	uploadSentAt    atomic.Pointer[time.Time] // when the last byte of a streamed request body was written; nil before
 	responseStarted atomic.Bool               // the head of a successful response has arrived
+	readerSetsLimit atomic.Bool               // the reader of the response determines its read deadlines, and sets a new one if one expires
 	withdrawn       atomic.Bool               // the endpoint had not received the complete request at SendBy
 
 	// The event loop owns the fields below. The goroutine of the attempt does not use them.
@@ -52,23 +55,28 @@
 	Unacknowledged int       // bytes that the endpoint's machine had not acknowledged after the write, or UnknownQueueLength
 }
 
+// StartedResponse describes a response with status 200 whose head has arrived, but not its complete body.
+type StartedResponse struct {
+	At            time.Time // when the head arrived
+	LengthUnknown bool      // the endpoint has not declared the length of the body
+}
+
 // Observer is notified of the progress of an attempt. The goroutines of the attempt call its methods, which must not block
 // for long.
 type Observer interface {
 	// UploadSent is called when the last byte of a streamed request body was written to the endpoint.
 	UploadSent(attempt *Attempt, sent SentUpload)
 	// ResponseStarted is called when the head of a successful response has arrived, but not its complete body.
-	// startedAt is when the head arrived.
-	ResponseStarted(attempt *Attempt, startedAt time.Time)
+	ResponseStarted(attempt *Attempt, response StartedResponse)
 	// StreamStarted is called with a streamed response, whose head and first bytes had arrived at startedAt. The
 	// observer must ensure that its Download is read until the end or that Download.Finish is called.
 	StreamStarted(attempt *Attempt, response *exchange.Response, startedAt time.Time)
 }
 
 // notifyResponseStarted notifies the observer that the head of a successful response has arrived.
-func (a *Attempt) notifyResponseStarted() {
+func (a *Attempt) notifyResponseStarted(length int64) {
 	a.responseStarted.Store(true)
-	a.Observer.ResponseStarted(a, time.Now())
+	a.Observer.ResponseStarted(a, StartedResponse{At: time.Now(), LengthUnknown: length < 0})
 }
 
 // RequestWritten reports whether the kernel has accepted the last byte of the request. Any goroutine may call it.
@@ -101,6 +109,20 @@
 	return a.responseDeadline()
 }
 
+// finalDeadline returns when the request must have its final response, if what it is can only be decided after its time:
+// balance.LateResponseGrace later, but in a shutdown no later than late requests have it.
+func (a *Attempt) finalDeadline() time.Time {
+	deadline := a.requestDeadline()
+	late := deadline.Add(balance.LateResponseGrace.Duration())
+	if a.Shutdown == nil {
+		return late
+	}
+	if times := a.Shutdown.Load(); times != nil && times.RespondBy.Before(late) {
+		return later(deadline, times.RespondBy)
+	}
+	return late
+}
+
 // mustNotSend reports whether the attempt must end without sending its first byte.
 func (a *Attempt) mustNotSend() bool {
 	return a.Endpoint.Closed.Load() || a.obsolete() || a.tooLateToSend()
@@ -117,6 +139,14 @@
 	}
 }
 
+// later returns the later of two points in time.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // earlier returns the earlier of two points in time.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return failedRoundTrip(responseErrorResult(err), err)
 	}
-	return roundTripOutcome{c.healthCheckOutcome(response), !response.Streaming && conn.reusableAfter(response)}
+	return roundTripOutcome{outcome: c.healthCheckOutcome(response), connReusable: !response.Streaming && conn.reusableAfter(response)}
 }
 
 // healthCheckObserver reserves no memory for the response to a health check, so that only its first part is read: a load report is
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -15,20 +15,21 @@
 
 // streamedResponse returns the response for the client, with a Download that reads the rest of the body from the
 // connection.
-func streamedResponse(response http1.Response, attempt *Attempt, conn *endpointConn) *exchange.Response {
+func streamedResponse(observer *attemptObserver, response http1.Response) *exchange.Response {
 	download := &exchange.Download{
 		FirstBytes: response.Body,
-		Body:       newStreamedBody(attempt, conn, response),
+		Body:       newStreamedBody(observer, response),
 		Length:     response.Head.ContentLength,
-		Cancel:     attempt.Cancel,
+		Cancel:     observer.attempt.Cancel,
 		Done:       make(chan error, 1),
 	}
 	return &exchange.Response{Status: http.StatusOK, Header: response.Head.Header, Download: download}
 }
 
 // streamToClient passes a streamed response to the observer, waits until its Download ends, and returns how it ended.
-func streamToClient(attempt *Attempt, conn *endpointConn, response http1.Response) error {
-	streamed := streamedResponse(response, attempt, conn)
+func streamToClient(observer *attemptObserver, response http1.Response) error {
+	attempt := observer.attempt
+	streamed := streamedResponse(observer, response)
 	attempt.Observer.StreamStarted(attempt, streamed, time.Now())
 	select {
 	case err := <-streamed.Download.Done:
--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -4,15 +4,15 @@
 	"errors"
 	"time"
 
+	"cindersaddle/balance"
 	"cindersaddle/internal/http1"
 )
 
 const (
 	// maxResponsePause is how long an endpoint may pause within a long response: endpoints hang for up to 25 s and then go on.
 	maxResponsePause = 30 * time.Second
-	// lateResponseGrace is how long a response may pause after its request's time without counting as ended. The client may
-	// get its final response up to 500 ms late.
-	lateResponseGrace = 400 * time.Millisecond
+	// minAllowedPause is how long an endpoint that still sends may pause, at least.
+	minAllowedPause = 300 * time.Millisecond
 	// pauseVariation is the factor by which a pause may exceed the longest one before it in the same response.
 	pauseVariation = 2
 	// minLongResponseRate is the least mean rate, in bytes per second, of a response that may become a long one.
@@ -32,9 +32,10 @@
 // responseLimit determines how long to wait for the next bytes of a streamed response.
 //
 // A response is short if it has at most http1.MaxBufferedBody bytes, otherwise long. The time of a request ends with the last byte
-// of a short response, but with the first bytes of a long one, which only a pause of maxResponsePause ends. As long as the length
-// is unknown, the time limit of a short response applies, unless the endpoint still sends after it, as it has before: not slower
-// than minLongResponseRate, and without a pause much longer than the ones before.
+// of a short response, but with the first bytes of a long one, which only a pause of maxResponsePause ends. A response that may be
+// either must be decided balance.LateResponseGrace after the time of its request, because an end that comes later saves no short
+// response. It counts as long if its endpoint still sends then, as it has before: not slower than minLongResponseRate, and
+// without a pause much longer than the ones before.
 type responseLimit struct {
 	declared     int64            // length of the body, or http1.UnknownLength
 	deadline     func() time.Time // returns the end of the request's time, which may move while the request is sent
@@ -69,22 +70,18 @@
 		return waitingSince.Add(maxResponsePause)
 	}
 	deadline := l.deadline()
-	end := waitingSince.Add(l.allowedPause(deadline, waitingSince))
-	if end.Before(deadline) {
-		return deadline
-	}
-	return end
-}
-
-// allowedPause returns how long a response that may be short may pause after the end of its request's time.
-func (l *responseLimit) allowedPause(deadline, waitingSince time.Time) time.Duration {
+	decideAt := deadline.Add(balance.LateResponseGrace.Duration())
 	if l.mayBecomeLong(waitingSince) {
-		return max(lateResponseGrace, pauseVariation*l.longestPause)
+		pauseEnd := waitingSince.Add(max(minAllowedPause, pauseVariation*l.longestPause))
+		if pauseEnd.Before(decideAt) {
+			return later(pauseEnd, deadline)
+		}
+		return waitingSince.Add(maxResponsePause)
 	}
-	if waitingSince.Before(deadline.Add(lateResponseGrace)) {
-		return lateResponseGrace
+	if waitingSince.Before(decideAt) {
+		return later(earlier(waitingSince.Add(minAllowedPause), decideAt), deadline)
 	}
-	return unreadBytesTimeout
+	return waitingSince.Add(unreadBytesTimeout)
 }
 
 // mayBecomeLong reports whether the response is of unknown length and arrives fast enough to become a long one.
--- a/internal/upstream/responseobserver.go
+++ b/internal/upstream/responseobserver.go
@@ -3,38 +3,40 @@
 import (
 	"time"
 
+	"cindersaddle/internal/http1"
 	"cindersaddle/internal/memory"
 )
 
-// unknownLengthGrace is how long it may take, after the head, to read the complete body of a response of unknown
-// length. If it takes longer, the body is streamed to the client, which is waiting for the first bytes.
-const unknownLengthGrace = 20 * time.Millisecond
-
-// deadlineObserver observes a response and sets the deadline for reading it.
-type deadlineObserver struct {
+// attemptObserver observes the response to an attempt, and determines how long to hold one of unknown length.
+type attemptObserver struct {
 	attempt *Attempt
 	conn    *endpointConn
+	hold    responseHold
+}
+
+// newAttemptObserver returns the observer of the response to an attempt on its connection.
+func newAttemptObserver(attempt *Attempt, conn *endpointConn) *attemptObserver {
+	return &attemptObserver{attempt: attempt, conn: conn}
 }
 
 // ResponseStarted implements http1.ResponseObserver.
-func (o deadlineObserver) ResponseStarted() { o.attempt.notifyResponseStarted() }
+func (o *attemptObserver) ResponseStarted(length int64) { o.attempt.notifyResponseStarted(length) }
 
 // ReserveBody implements http1.ResponseObserver.
-func (o deadlineObserver) ReserveBody(bytes int) bool {
+func (o *attemptObserver) ReserveBody(bytes int) bool {
 	return o.attempt.Message.Memory.Grow(memory.Responses, bytes)
 }
 
-// ShortenDeadline implements http1.ResponseObserver.
-func (o deadlineObserver) ShortenDeadline() {
-	o.attempt.setReadDeadline(o.conn, earlier(o.attempt.responseDeadline(), time.Now().Add(unknownLengthGrace)))
-}
-
-// ShortenedDeadlineExpired implements http1.ResponseObserver.
-func (o deadlineObserver) ShortenedDeadlineExpired() bool {
-	return !o.attempt.obsolete() && time.Now().Before(o.attempt.responseDeadline())
-}
-
-// RestoreDeadline implements http1.ResponseObserver.
-func (o deadlineObserver) RestoreDeadline() {
-	o.attempt.setReadDeadline(o.conn, o.attempt.responseDeadline())
+// AwaitBody implements http1.ResponseObserver.
+func (o *attemptObserver) AwaitBody(received int, expired bool) http1.BodyStep {
+	if expired && o.attempt.obsolete() {
+		return http1.FailBody
+	}
+	o.attempt.readerSetsLimit.Store(true)
+	now := time.Now()
+	step, until := o.hold.next(received, now, o.attempt.requestDeadline(), o.attempt.finalDeadline())
+	if step == http1.KeepReading {
+		o.attempt.setReadDeadline(o.conn, until)
+	}
+	return step
 }
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -53,11 +53,12 @@
 	}
 	attempt.requestWritten.Store(true)
 	c.metrics.Attempts.Add(1)
-	response, err := conn.reader.Next(attempt.Message.Method, deadlineObserver{attempt, conn})
+	observer := newAttemptObserver(attempt, conn)
+	response, err := conn.reader.Next(attempt.Message.Method, observer)
 	if err != nil {
 		return failedRoundTrip(attempt.readErrorResult(err), err)
 	}
-	return c.handleResponse(attempt, conn, response)
+	return c.handleResponse(observer, response)
 }
 
 // maxJoinedBody is the size in bytes up to which a body is sent in one call with the head. A longer one is not copied.
@@ -82,10 +83,11 @@
 	head := attempt.Message.EncodeHead(attempt.PostUploadTimeout)
 	go writer.run(head, func(sentAt time.Time) { c.uploadSent(attempt, conn, sentAt) })
 
-	response, err := conn.reader.Next(attempt.Message.Method, deadlineObserver{attempt, conn})
+	observer := newAttemptObserver(attempt, conn)
+	response, err := conn.reader.Next(attempt.Message.Method, observer)
 	var result roundTripOutcome
 	if err == nil {
-		result = c.handleResponse(attempt, conn, response)
+		result = c.handleResponse(observer, response)
 	}
 	sent := writer.stop()
 	if sent {
@@ -110,25 +112,30 @@
 	c.metrics.Attempts.Add(1)
 	now := time.Now()
 	attempt.uploadSentAt.Store(&now)
-	attempt.setReadDeadline(conn, attempt.responseDeadline())
+	if attempt.readerSetsLimit.Load() {
+		conn.SetReadDeadline(socket.PastDeadline) // the deadline of the request has become known
+	} else {
+		attempt.setReadDeadline(conn, attempt.responseDeadline())
+	}
 	attempt.Observer.UploadSent(attempt, SentUpload{At: sentAt, Unacknowledged: conn.unacknowledged()})
 }
 
 // handleResponse returns the outcome of a round trip that got a response. If the response is streamed, it returns when
 // the stream has ended.
-func (c *Client) handleResponse(attempt *Attempt, conn *endpointConn, response http1.Response) roundTripOutcome {
+func (c *Client) handleResponse(observer *attemptObserver, response http1.Response) roundTripOutcome {
+	attempt, conn := observer.attempt, observer.conn
 	outcome := Outcome{Result: statusResult(response.Head), LoadReport: loadReportFrom(response.Head, c.loadReportFields)}
 	if outcome.Result != balance.OK {
-		return roundTripOutcome{outcome, !response.Streaming && conn.reusableAfter(response)}
+		return roundTripOutcome{outcome: outcome, connReusable: !response.Streaming && conn.reusableAfter(response)}
 	}
 	response.Head.Header.Del(LoadReportHeader)
 	http1.RemoveHopHeaders(response.Head.Header)
 	if !response.Streaming {
 		outcome.Response = bufferedResponse(response)
-		return roundTripOutcome{outcome, conn.reusableAfter(response)}
+		return roundTripOutcome{outcome: outcome, connReusable: conn.reusableAfter(response)}
 	}
-	err := streamToClient(attempt, conn, response)
+	err := streamToClient(observer, response)
 	outcome.Result = attempt.streamResult(err)
 	outcome.Err = err
-	return roundTripOutcome{outcome, err == nil && conn.reusableAfter(response)}
+	return roundTripOutcome{outcome: outcome, connReusable: err == nil && conn.reusableAfter(response)}
 }
--- a/internal/upstream/streamedbody.go
+++ b/internal/upstream/streamedbody.go
@@ -11,24 +11,45 @@
 // streamedBody reads the rest of a streamed response from its connection, and waits for the endpoint as long as responseLimit
 // allows. It is not safe for concurrent use.
 type streamedBody struct {
-	attempt  *Attempt
-	conn     *endpointConn
-	response http1.Response
-	limit    responseLimit
+	attempt     *Attempt
+	conn        *endpointConn
+	response    http1.Response
+	limit       responseLimit
+	lastArrival time.Time // of the first bytes; zero after the first call of Read
 }
 
 // newStreamedBody returns the rest of a response whose first bytes have been read.
-func newStreamedBody(attempt *Attempt, conn *endpointConn, response http1.Response) *streamedBody {
-	limit := newResponseLimit(response.Head.ContentLength, attempt.requestDeadline, time.Now())
-	limit.record(len(response.Body), response.AnnouncedBytes(), 0)
-	return &streamedBody{attempt: attempt, conn: conn, response: response, limit: limit}
+func newStreamedBody(observer *attemptObserver, response http1.Response) *streamedBody {
+	attempt, arrivals, now := observer.attempt, observer.hold.arrivals, time.Now()
+	attempt.readerSetsLimit.Store(true)
+	arrivals.record(len(response.Body), now)
+	limit := newResponseLimit(response.Head.ContentLength, attempt.requestDeadline, arrivals.first)
+	limit.record(len(response.Body), response.AnnouncedBytes(), arrivals.longestPause)
+	return &streamedBody{
+		attempt: attempt, conn: observer.conn, response: response, limit: limit, lastArrival: arrivals.last,
+	}
 }
 
-// Read returns bytes as they arrive. The time that passes between two calls does not count as a pause of the endpoint.
+// waitingSince returns since when the endpoint has been waited for, if a call of Read begins now. The time that passes between two
+// calls does not count, but the time for which the first bytes were held does, as long as the response may be short.
+func (b *streamedBody) waitingSince(now time.Time) time.Time {
+	lastArrival := b.lastArrival
+	b.lastArrival = time.Time{}
+	if b.limit.long || lastArrival.IsZero() {
+		return now
+	}
+	return lastArrival
+}
+
+// Read returns bytes as they arrive.
 func (b *streamedBody) Read(buffer []byte) (int, error) {
-	waitingSince := time.Now()
+	began := time.Now()
+	waitingSince := b.waitingSince(began)
+	waitUntil := func() time.Time {
+		return later(b.limit.waitUntil(waitingSince), began.Add(unreadBytesTimeout))
+	}
 	for {
-		b.attempt.setReadDeadline(b.conn, b.limit.waitUntil(waitingSince))
+		b.attempt.setReadDeadline(b.conn, waitUntil())
 		n, err := b.response.Head.Body.Read(buffer)
 		now := time.Now()
 		b.limit.record(n, b.response.AnnouncedBytes(), now.Sub(waitingSince))
@@ -36,7 +57,7 @@
 			return n, err
 		}
 		// The limit may have changed while the endpoint was waited for, and others set the deadline of the connection, too.
-		if !now.Before(b.limit.waitUntil(waitingSince)) {
+		if !now.Before(waitUntil()) {
 			return 0, b.limit.overdueError()
 		}
 	}
