--- a/internal/endtoend/unknownlength_test.go
+++ b/internal/endtoend/unknownlength_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -286,6 +287,38 @@
 	playResponses(t, responses)
 }
 
+// TestSlowLongResponsesOfClassAreForwarded guards against failing all responses of a class whose endpoints write long responses so
+// slowly that none is known to be long in time. No response may be cut off, and after some of them the others must be forwarded in
+// time, also if their endpoints pause at the end of it.
+func TestSlowLongResponsesOfClassAreForwarded(t *testing.T) {
+	t.Parallel()
+	const wait, batch, batches = 400 * time.Millisecond, 4, 5
+	const failedAtFirst = 3 * batch // until enough lengths are known
+	drip := lump{pause: 100 * time.Millisecond, bytes: 3 << 10}
+	pause := lump{pause: 1500 * time.Millisecond, bytes: 3 << 10}
+	var responses []*lumpyResponse
+	for i := range batch * batches {
+		response := &lumpyResponse{framing: inChunks, time: wait, lumps: slices.Repeat([]lump{drip}, 30)}
+		if i%2 == 1 {
+			response.lumps = slices.Insert(response.lumps, 3, pause)
+		}
+		responses = append(responses, response)
+	}
+	s := startWithResponses(t, responses)
+	var views []clientView
+	for batch := range slices.Chunk(responses, batch) {
+		views = append(views, s.fetchAll(t, batch)...)
+		time.Sleep(4 * time.Second) // until the lengths of these are known
+	}
+	reportResponses(t, responses, views)
+	for i, view := range views {
+		if i >= failedAtFirst && (!view.complete(responses[i]) || view.firstByte > wait) {
+			t.Errorf("response %d: got status %d, %d bytes, first after %v; want it complete and begun in %v",
+				i, view.status, view.body, view.firstByte, wait)
+		}
+	}
+}
+
 // playResponses plays responses at one sidecar and checks what their clients get.
 func playResponses(t *testing.T, responses []*lumpyResponse) {
 	t.Helper()
--- a/internal/eventloop/attempts.go
+++ b/internal/eventloop/attempts.go
@@ -40,6 +40,7 @@
 		PostUploadTimeout: req.timeAfterUpload(l.clock.now).Duration(),
 		Observer:          l,
 		LoopDone:          l.ctx.Done(),
+		Lengths:           req.exchange.Settings.ResponseLengths[req.exchange.Request.Class],
 		Shutdown:          &l.serviceState.Shutdown,
 	}
 	if action.SendBy > 0 {
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -9,8 +9,8 @@
 // noIndex is the index of a name that is not in the previous table.
 const noIndex = -1
 
-// Settings are the part of the configuration that applies to requests. They are immutable, except for what the counters and
-// the estimates of response times hold: a new configuration creates new Settings, and requests that were read before keep the
+// Settings are the part of the configuration that applies to requests. They are immutable, except for what the counters, the
+// estimates of response times and the histories of lengths hold: a new configuration creates new Settings, and requests that were read before keep the
 // Settings that they were read with. Any goroutine may read them.
 type Settings struct {
 	ClassIndex map[string]int           // index in ClassNames and Classes, by name
@@ -19,9 +19,11 @@
 	Counters   []*metrics.ClassCounters // in the order of Classes
 	// ResponseTimes estimate how long requests take, in the order of Classes.
 	ResponseTimes []*ResponseTime
-	TenantIndex   map[string]int // index in TenantNames, by name
-	TenantNames   []string       // in the order of the balancer's tenants
-	MaxAttempts   int            // maximum number of attempts per request
+	// ResponseLengths remember how long responses are whose length is not declared, in the order of Classes.
+	ResponseLengths []*LengthHistory
+	TenantIndex     map[string]int // index in TenantNames, by name
+	TenantNames     []string       // in the order of the balancer's tenants
+	MaxAttempts     int            // maximum number of attempts per request
 }
 
 // NewSettings returns the settings of a configuration. It registers counters for each of its classes in registry, which may
@@ -38,6 +40,7 @@
 	for _, name := range settings.ClassNames {
 		settings.Counters = append(settings.Counters, registry.Class(name))
 		settings.ResponseTimes = append(settings.ResponseTimes, &ResponseTime{})
+		settings.ResponseLengths = append(settings.ResponseLengths, &LengthHistory{})
 	}
 	registry.TrimClasses(settings.Counters)
 	return settings
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -24,7 +24,8 @@
 	Context           context.Context
 	Cancel            context.CancelFunc
 	Observer          Observer
-	LoopDone          <-chan struct{} // closed when the event loop ends
+	LoopDone          <-chan struct{}         // closed when the event loop ends
+	Lengths           *exchange.LengthHistory // of the request's class; nil: none
 	// Shutdown holds the time limits of a shutdown, or nil before it begins.
 	Shutdown *atomic.Pointer[exchange.ShutdownTimes]
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -22,7 +22,8 @@
 	loadReportFields []string // names of the values of a load report, in the order of Outcome.LoadReport
 	checkPath        string   // path that health checks request
 
-	metrics *metrics.Metrics
+	metrics        *metrics.Metrics
+	lengthObserver lengthObserver
 }
 
 // NewClient returns a client that uses the connections of pool. fields are the names of the values of a load report, in the
@@ -65,13 +66,17 @@
 }
 
 // releaseConn returns a connection to the pool, or closes it if it cannot be reused: what it has not delivered by then is
-// never delivered. It returns the outcome of the round trip.
+// never delivered. A connection with an unfinished response may be closed later. It returns the outcome of the round trip.
 func (c *Client) releaseConn(conn *endpointConn, result roundTripOutcome) Outcome {
-	if result.connReusable {
-		c.pool.put(conn)
-	} else {
+	closeConn := func() {
 		conn.discardUnsent()
 		c.pool.closeConn(conn)
 	}
+	switch {
+	case result.connReusable:
+		c.pool.put(conn)
+	case result.unfinished == nil || !c.lengthObserver.start(conn, result.unfinished, closeConn):
+		closeConn()
+	}
 	return result.outcome
 }
--- a/internal/upstream/responsehold.go
+++ b/internal/upstream/responsehold.go
@@ -15,7 +15,7 @@
 // beginning has been forwarded, a pause of the endpoint at the end of the request's time leaves no right choice: a short response
 // would have to be ended, a long one to be continued. A response that has not been forwarded can still be replaced by an error, which
 // is a final response in both cases. So it is held until it is complete, or known to be long, or the time for a final response ends.
-// Only if that is too far away is it forwarded.
+// Only if that is too far away is it forwarded. (If the other responses of its class say that it is long, it is not held.)
 type responseHold struct{ arrivals bodyArrivals }
 
 // next returns what to do with the response, of which received bytes have arrived by now, and until when to wait for more. The
--- a/internal/upstream/responseobserver.go
+++ b/internal/upstream/responseobserver.go
@@ -34,6 +34,9 @@
 	}
 	o.attempt.readerSetsLimit.Store(true)
 	now := time.Now()
+	if o.attempt.Lengths.ExpectsLong(int64(received), now) {
+		return http1.StreamBody
+	}
 	step, until := o.hold.next(received, now, o.attempt.requestDeadline(), o.attempt.finalDeadline())
 	if step == http1.KeepReading {
 		o.attempt.setReadDeadline(o.conn, until)
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -13,7 +13,8 @@
 // roundTripOutcome describes how a round trip ended: one request and its response on one connection.
 type roundTripOutcome struct {
 	outcome      Outcome
-	connReusable bool // the connection may carry another request
+	connReusable bool                // the connection may carry another request
+	unfinished   *unfinishedResponse // a response on the connection whose length may be of use; may be nil
 }
 
 // failedRoundTrip returns the outcome of a round trip without a complete response. Its connection must be closed.
@@ -21,6 +22,13 @@
 	return roundTripOutcome{outcome: Outcome{Result: result, Err: err}}
 }
 
+// failedResponse returns the outcome of a round trip whose request was sent and whose response could not be read completely.
+func failedResponse(attempt *Attempt, response http1.Response, err error) roundTripOutcome {
+	result := failedRoundTrip(attempt.readErrorResult(err), err)
+	result.unfinished = newUnfinishedResponse(attempt, response, err)
+	return result
+}
+
 // runInterruptible runs a round trip that may take until the deadline. If ctx is done, it interrupts the round trip:
 // all reads and writes of the connection return an error, and the connection is not reused.
 func runInterruptible(
@@ -31,6 +39,9 @@
 	result := roundTrip()
 	interrupted := !stop()
 	result.connReusable = result.connReusable && !interrupted
+	if interrupted {
+		result.unfinished = nil
+	}
 	return result
 }
 
@@ -56,7 +67,7 @@
 	observer := newAttemptObserver(attempt, conn)
 	response, err := conn.reader.Next(attempt.Message.Method, observer)
 	if err != nil {
-		return failedRoundTrip(attempt.readErrorResult(err), err)
+		return failedResponse(attempt, response, err)
 	}
 	return c.handleResponse(observer, response)
 }
@@ -99,7 +110,7 @@
 		result.outcome.Incomplete = !sent
 		return result
 	case sent:
-		return failedRoundTrip(attempt.readErrorResult(err), err)
+		return failedResponse(attempt, response, err)
 	default:
 		return roundTripOutcome{outcome: writer.incompleteOutcome(attempt, err)}
 	}
@@ -131,6 +142,8 @@
 	response.Head.Header.Del(LoadReportHeader)
 	http1.RemoveHopHeaders(response.Head.Header)
 	if !response.Streaming {
+		length := newLengthRecord(attempt.Lengths, response.Head)
+		length.observe(int64(len(response.Body)), 0, true)
 		outcome.Response = bufferedResponse(response)
 		return roundTripOutcome{outcome: outcome, connReusable: conn.reusableAfter(response)}
 	}
--- a/internal/upstream/streamedbody.go
+++ b/internal/upstream/streamedbody.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"time"
 
@@ -15,6 +16,7 @@
 	conn        *endpointConn
 	response    http1.Response
 	limit       responseLimit
+	length      lengthRecord
 	lastArrival time.Time // of the first bytes; zero after the first call of Read
 }
 
@@ -25,8 +27,13 @@
 	arrivals.record(len(response.Body), now)
 	limit := newResponseLimit(response.Head.ContentLength, attempt.requestDeadline, arrivals.first)
 	limit.record(len(response.Body), response.AnnouncedBytes(), arrivals.longestPause)
+	length := newLengthRecord(attempt.Lengths, response.Head)
+	length.observe(limit.received, response.AnnouncedBytes(), false)
+	if !length.done && attempt.Lengths.ExpectsLong(limit.received, now) {
+		limit.long = true
+	}
 	return &streamedBody{
-		attempt: attempt, conn: observer.conn, response: response, limit: limit, lastArrival: arrivals.last,
+		attempt: attempt, conn: observer.conn, response: response, limit: limit, length: length, lastArrival: arrivals.last,
 	}
 }
 
@@ -53,6 +60,7 @@
 		n, err := b.response.Head.Body.Read(buffer)
 		now := time.Now()
 		b.limit.record(n, b.response.AnnouncedBytes(), now.Sub(waitingSince))
+		b.length.observe(b.limit.received, b.response.AnnouncedBytes(), err == io.EOF)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || b.attempt.interrupted() {
 			return n, err
 		}
