Count and log what becomes of responses without a declared length

New: responses_without_length_total by result, responses_ended_undecided_total, and both figures in the error of the attempt and of the connection.

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -42,6 +42,10 @@
 // is 0 if the body is not chunked.
 func (r Response) AnnouncedBytes() int64 { return announcedBytes(r.Head) }
 
+// KnownLong reports whether the body of a streamed response is longer than MaxBufferedBody, judging by its first part and what is
+// announced beyond it.
+func (r Response) KnownLong() bool { return longBody(r.Head, len(r.Body)) }
+
 // announcedBytes is Response.AnnouncedBytes for a response whose body is being read.
 func announcedBytes(resp *http.Response) int64 {
 	if chunked, ok := resp.Body.(*ChunkedReader); ok {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -30,6 +30,7 @@
 	Endpoints            atomic.Int64 // endpoints in the list
 	InvalidRequests      atomic.Int64 // requests that were answered with a 4xx status because they are invalid
 	UnavailableEndpoints atomic.Int64 // endpoints draining, ejected, in a zone outage, or failing the last health check
+	UnknownLength        UnknownLengthCounters
 
 	// MemoryUsage returns what the process holds for its peers; nil means that there is no budget. It must be set before the
 	// metrics are rendered.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -31,3 +31,26 @@
 		t.Errorf("got %s, want a line that ends with %s", text.String(), want)
 	}
 }
+
+// TestWriteTextCountsResponsesWithoutLength checks that each result of a response without a length has its own sample.
+func TestWriteTextCountsResponsesWithoutLength(t *testing.T) {
+	m := &Metrics{}
+	for result := range unknownLengthResults {
+		for range result + 1 {
+			m.UnknownLength.Count(result)
+		}
+	}
+	m.UnknownLength.EndedUndecided.Add(7)
+	var text bytes.Buffer
+	m.WriteText(&text)
+	for _, want := range []string{
+		`responses_without_length_total{result="complete"} 1`, `responses_without_length_total{result="long"} 2`,
+		`responses_without_length_total{result="expected_long"} 3`,
+		`responses_without_length_total{result="forwarded_undecided"} 4`,
+		`responses_without_length_total{result="failed_undecided"} 5`, `responses_ended_undecided_total 7`,
+	} {
+		if !strings.Contains(text.String(), namePrefix+want+"\n") {
+			t.Errorf("got %s, want a line %s", text.String(), want)
+		}
+	}
+}
--- a/internal/metrics/text.go
+++ b/internal/metrics/text.go
@@ -29,6 +29,7 @@
 func (m *Metrics) WriteText(w io.Writer) {
 	m.writeRequestCounters(w)
 	m.writeProcessMetrics(w)
+	m.UnknownLength.writeText(w)
 	m.writeMemoryUsage(w)
 }
 
--- a/internal/upstream/responsehold.go
+++ b/internal/upstream/responsehold.go
@@ -45,6 +45,14 @@
 	longestPause time.Duration
 }
 
+// pause returns how long ago the last bytes have arrived, or 0 if none have.
+func (a *bodyArrivals) pause(now time.Time) time.Duration {
+	if a.received == 0 {
+		return 0
+	}
+	return now.Sub(a.last)
+}
+
 // record records that so many bytes have arrived by now.
 func (a *bodyArrivals) record(received int, now time.Time) {
 	switch {
--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"cindersaddle/balance"
@@ -91,9 +92,14 @@
 }
 
 // overdueError returns the error of a response that has passed its limit.
-func (l *responseLimit) overdueError() error {
+func (l *responseLimit) overdueError(paused time.Duration) error {
 	if l.long {
 		return errResponseStalled
 	}
-	return errResponseOverdue
+	return overdueError(l.received, paused)
+}
+
+// overdueError returns errResponseOverdue with what is known about the response.
+func overdueError(received int64, paused time.Duration) error {
+	return fmt.Errorf("%w: %d bytes have arrived, the endpoint has paused for %v", errResponseOverdue, received, paused)
 }
--- a/internal/upstream/responseobserver.go
+++ b/internal/upstream/responseobserver.go
@@ -5,6 +5,7 @@
 
 	"cindersaddle/internal/http1"
 	"cindersaddle/internal/memory"
+	"cindersaddle/internal/metrics"
 )
 
 // attemptObserver observes the response to an attempt, and determines how long to hold one of unknown length.
@@ -12,6 +13,8 @@
 	attempt *Attempt
 	conn    *endpointConn
 	hold    responseHold
+	// expectedLong means that the response is streamed because others of its class were long.
+	expectedLong bool
 }
 
 // newAttemptObserver returns the observer of the response to an attempt on its connection.
@@ -35,6 +38,7 @@
 	o.attempt.readerSetsLimit.Store(true)
 	now := time.Now()
 	if o.attempt.Lengths.ExpectsLong(int64(received), now) {
+		o.expectedLong = true
 		return http1.StreamBody
 	}
 	step, until := o.hold.next(received, now, o.attempt.requestDeadline(), o.attempt.finalDeadline())
@@ -43,3 +47,16 @@
 	}
 	return step
 }
+
+// unknownLengthResult returns what became of a response of unknown length that was read without an error.
+func (o *attemptObserver) unknownLengthResult(response http1.Response) metrics.UnknownLengthResult {
+	switch {
+	case !response.Streaming:
+		return metrics.CompleteWhileHeld
+	case o.expectedLong:
+		return metrics.ExpectedLong
+	case response.KnownLong():
+		return metrics.LongWhileHeld
+	}
+	return metrics.ForwardedUndecided
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"cindersaddle/balance"
 	"cindersaddle/internal/exchange"
 	"cindersaddle/internal/http1"
+	"cindersaddle/internal/metrics"
 	"cindersaddle/internal/socket"
 )
 
@@ -23,9 +25,15 @@
 }
 
 // failedResponse returns the outcome of a round trip whose request was sent and whose response could not be read completely.
-func failedResponse(attempt *Attempt, response http1.Response, err error) roundTripOutcome {
+func (c *Client) failedResponse(observer *attemptObserver, response http1.Response, err error) roundTripOutcome {
+	attempt := observer.attempt
 	result := failedRoundTrip(attempt.readErrorResult(err), err)
 	result.unfinished = newUnfinishedResponse(attempt, response, err)
+	if result.unfinished != nil {
+		c.metrics.UnknownLength.Count(metrics.FailedUndecided)
+		arrivals := observer.hold.arrivals
+		result.outcome.Err = overdueError(int64(arrivals.received), arrivals.pause(time.Now()))
+	}
 	return result
 }
 
@@ -67,7 +75,7 @@
 	observer := newAttemptObserver(attempt, conn)
 	response, err := conn.reader.Next(attempt.Message.Method, observer)
 	if err != nil {
-		return failedResponse(attempt, response, err)
+		return c.failedResponse(observer, response, err)
 	}
 	return c.handleResponse(observer, response)
 }
@@ -110,7 +118,7 @@
 		result.outcome.Incomplete = !sent
 		return result
 	case sent:
-		return failedResponse(attempt, response, err)
+		return c.failedResponse(observer, response, err)
 	default:
 		return roundTripOutcome{outcome: writer.incompleteOutcome(attempt, err)}
 	}
@@ -139,6 +147,9 @@
 	if outcome.Result != balance.OK {
 		return roundTripOutcome{outcome: outcome, connReusable: !response.Streaming && conn.reusableAfter(response)}
 	}
+	if response.Head.ContentLength < 0 {
+		c.metrics.UnknownLength.Count(observer.unknownLengthResult(response))
+	}
 	response.Head.Header.Del(LoadReportHeader)
 	http1.RemoveHopHeaders(response.Head.Header)
 	if !response.Streaming {
@@ -148,6 +159,9 @@
 		return roundTripOutcome{outcome: outcome, connReusable: conn.reusableAfter(response)}
 	}
 	err := streamToClient(observer, response)
+	if errors.Is(err, errResponseOverdue) {
+		c.metrics.UnknownLength.EndedUndecided.Add(1)
+	}
 	outcome.Result = attempt.streamResult(err)
 	outcome.Err = err
 	return roundTripOutcome{outcome: outcome, connReusable: err == nil && conn.reusableAfter(response)}
--- a/internal/upstream/streamedbody.go
+++ b/internal/upstream/streamedbody.go
@@ -66,7 +66,7 @@
 		}
 		// The limit may have changed while the endpoint was waited for, and others set the deadline of the connection, too.
 		if !now.Before(waitUntil()) {
-			return 0, b.limit.overdueError()
+			return 0, b.limit.overdueError(now.Sub(waitingSince))
 		}
 	}
 }
