Decide responses without a length from the kernel's bytes when memory is short

What callers saw: with the least memory and 340 clients at once, long responses without a length were still cut off at the end of their request's time.

Cause: without memory for more than 4 KiB, a response was forwarded before it was known to be short or long, and met the same dilemma as before.

Change: the bytes then stay in the kernel. Every 50 ms the sidecar looks at them (recv with MSG_PEEK into one buffer of 128 KiB for all connections), decodes chunks ahead without reading, and asks whether the endpoint has closed. A response that is long or complete is forwarded from there; any other is held, and fails, as with memory. Memory that becomes free is taken.

--- a/internal/http1/observer.go
+++ b/internal/http1/observer.go
@@ -6,8 +6,12 @@
 	// ResponseStarted is called when the head of a response with status 200 has arrived, but not its complete body. length is
 	// the declared length of the body, or UnknownLength.
 	ResponseStarted(length int64)
-	// ReserveBody reserves memory for more bytes of the body. If it returns false, the body is streamed instead of buffered.
+	// ReserveBody reserves memory for more bytes of the body. If it returns false, the body is streamed instead of buffered, unless
+	// AwaitMemory says otherwise.
 	ReserveBody(bytes int) bool
+	// AwaitMemory is called if there is no memory for more bytes of a body of unknown length of which received bytes have been
+	// read. It returns KeepReading when there is, or what to do instead. unread tells what has arrived but not been read.
+	AwaitMemory(received, bytes int, unread UnreadBody) BodyStep
 	// AwaitBody is called before each read of a body of unknown length of which received bytes have arrived, and returns what
 	// to do next. For KeepReading it sets the deadline of the read. expired is true if the deadline of the last read has expired.
 	AwaitBody(received int, expired bool) BodyStep
@@ -32,6 +36,9 @@
 // ReserveBody returns true.
 func (NopResponseObserver) ReserveBody(int) bool { return true }
 
+// AwaitMemory returns StreamBody.
+func (NopResponseObserver) AwaitMemory(int, int, UnreadBody) BodyStep { return StreamBody }
+
 // AwaitBody returns KeepReading until the deadline of a read has expired.
 func (NopResponseObserver) AwaitBody(_ int, expired bool) BodyStep {
 	if expired {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -42,10 +42,6 @@
 // is 0 if the body is not chunked.
 func (r Response) AnnouncedBytes() int64 { return announcedBytes(r.Head) }
 
-// KnownLong reports whether the body of a streamed response is longer than MaxBufferedBody, judging by its first part and what is
-// announced beyond it.
-func (r Response) KnownLong() bool { return longBody(r.Head, len(r.Body)) }
-
 // announcedBytes is Response.AnnouncedBytes for a response whose body is being read.
 func announcedBytes(resp *http.Response) int64 {
 	if chunked, ok := resp.Body.(*ChunkedReader); ok {
@@ -98,11 +94,9 @@
 func (r ResponseReader) readBody(
 	resp *http.Response, observer ResponseObserver,
 ) (body []byte, streamed bool, err error) {
-	await := NopResponseObserver{}.AwaitBody
-	if resp.StatusCode == http.StatusOK && resp.ContentLength < 0 {
-		await = observer.AwaitBody
-	}
-	body, streamed, err = bufferBody(resp, observer, await)
+	reading := bodyReading{resp: resp, observer: observer, unread: UnreadBody{reader: r.Reader, resp: resp}}
+	reading.lengthUnknown = resp.StatusCode == http.StatusOK && resp.ContentLength < 0
+	body, streamed, err = reading.buffer()
 	if streamed {
 		r.limitedSource.setLimit(PartBody, noLimit) // the client reads the rest, of any length
 	}
@@ -112,42 +106,65 @@
 // freeBodyBytes is the size of a body in bytes up to which no memory is reserved for it.
 const freeBodyBytes = 4 << 10
 
-// bufferBody reads a body until its end, until it is known to be longer than MaxBufferedBody, until there is no memory for more of
-// it, or until await returns StreamBody. In all cases but the first it reports that the body must be streamed.
-func bufferBody(
-	resp *http.Response, observer ResponseObserver, await func(received int, expired bool) BodyStep,
-) (body []byte, streamed bool, err error) {
-	body = make([]byte, 0, bodyCapacity(0, resp.ContentLength))
+// bodyReading reads the body of a response into memory.
+type bodyReading struct {
+	resp          *http.Response
+	observer      ResponseObserver
+	unread        UnreadBody
+	lengthUnknown bool // the observer determines how long to wait for the body, or for memory
+	body          []byte
+}
+
+// buffer reads the body until its end, until it is known to be longer than MaxBufferedBody, until there is no memory for more of
+// it, or until the observer returns StreamBody. In all cases but the first it reports that the body must be streamed.
+func (b *bodyReading) buffer() (body []byte, streamed bool, err error) {
+	b.body = make([]byte, 0, bodyCapacity(0, b.resp.ContentLength))
 	expired := false
 	for {
-		if longBody(resp, len(body)) {
-			return body, true, nil
+		if longBody(b.resp, len(b.body)) {
+			return b.body, true, nil
 		}
-		switch await(len(body), expired) {
+		switch b.await(expired) {
 		case StreamBody:
-			return body, true, nil
+			return b.body, true, nil
 		case FailBody:
-			return body, false, os.ErrDeadlineExceeded
-		}
-		if len(body) == cap(body) {
-			grown := bodyCapacity(cap(body), resp.ContentLength)
-			if !observer.ReserveBody(grown - cap(body)) {
-				return body, true, nil
-			}
-			body = append(make([]byte, 0, grown), body...)
+			return b.body, false, os.ErrDeadlineExceeded
 		}
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := b.resp.Body.Read(b.body[len(b.body):cap(b.body)])
+		b.body = b.body[:len(b.body)+n]
 		if err == io.EOF {
-			return body, len(body) > MaxBufferedBody, nil
+			return b.body, len(b.body) > MaxBufferedBody, nil
 		}
 		expired = errors.Is(err, os.ErrDeadlineExceeded)
 		if err != nil && !expired {
-			return body, false, err
+			return b.body, false, err
 		}
 	}
 }
 
+// await returns what to do next, and provides room for more bytes if that is to read them. expired is as in
+// ResponseObserver.AwaitBody.
+func (b *bodyReading) await(expired bool) BodyStep {
+	step := NopResponseObserver{}.AwaitBody(len(b.body), expired)
+	if b.lengthUnknown {
+		step = b.observer.AwaitBody(len(b.body), expired)
+	}
+	if step != KeepReading || len(b.body) < cap(b.body) {
+		return step
+	}
+	grown := bodyCapacity(cap(b.body), b.resp.ContentLength)
+	if !b.observer.ReserveBody(grown - cap(b.body)) {
+		step = StreamBody
+		if b.lengthUnknown {
+			step = b.observer.AwaitMemory(len(b.body), grown-cap(b.body), b.unread)
+		}
+	}
+	if step == KeepReading {
+		b.body = append(make([]byte, 0, grown), b.body...)
+	}
+	return step
+}
+
 // longBody reports whether a body is longer than MaxBufferedBody, judging by the bytes that have been received and announced.
 func longBody(resp *http.Response, received int) bool {
 	return received > 0 && announcedBytes(resp) > int64(MaxBufferedBody-received)
--- a/internal/metrics/unknownlength.go
+++ b/internal/metrics/unknownlength.go
@@ -14,7 +14,7 @@
 	CompleteWhileHeld    UnknownLengthResult = iota // complete before it was forwarded
 	LongWhileHeld                                   // known to be long before it was forwarded
 	ExpectedLong                                    // forwarded because others of its class were long
-	ForwardedUndecided                              // forwarded because it could not be held any longer, or for lack of memory
+	ForwardedUndecided                              // forwarded because it could not be held any longer
 	FailedUndecided                                 // not forwarded: neither complete nor known to be long in time
 	unknownLengthResults                            // the number of results
 )
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,6 +24,7 @@
 
 	metrics        *metrics.Metrics
 	lengthObserver lengthObserver
+	unreadPeeker   unreadPeeker
 }
 
 // NewClient returns a client that uses the connections of pool. fields are the names of the values of a load report, in the
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -72,7 +72,7 @@
 	}
 	attempt.requestWritten.Store(true)
 	c.metrics.Attempts.Add(1)
-	observer := newAttemptObserver(attempt, conn)
+	observer := newAttemptObserver(attempt, conn, &c.unreadPeeker)
 	response, err := conn.reader.Next(attempt.Message.Method, observer)
 	if err != nil {
 		return c.failedResponse(observer, response, err)
@@ -102,7 +102,7 @@
 	head := attempt.Message.EncodeHead(attempt.PostUploadTimeout)
 	go writer.run(head, func(sentAt time.Time) { c.uploadSent(attempt, conn, sentAt) })
 
-	observer := newAttemptObserver(attempt, conn)
+	observer := newAttemptObserver(attempt, conn, &c.unreadPeeker)
 	response, err := conn.reader.Next(attempt.Message.Method, observer)
 	var result roundTripOutcome
 	if err == nil {
