Hold a response without a length for up to 1.9 s

A response that is forwarded undecided, because its client waits longer than it may be held, is the state in which something is still lost either way. At 1.8 s that was one in ten of the site's lookups (they wait 1.4 to 2 s); at 1.9 s it is one in twenty, and 0.1 s of the 2 s that the operators allow is left for delivery.

--- a/internal/upstream/responsehold.go
+++ b/internal/upstream/responsehold.go
@@ -7,7 +7,7 @@
 )
 
 // maxResponseHold is how long the beginning of a response may be held: a response whose rest is held back for 2 s is lost.
-const maxResponseHold = 1800 * time.Millisecond
+const maxResponseHold = 1900 * time.Millisecond
 
 // responseHold determines how long to hold a response of unknown length of which at most http1.MaxBufferedBody bytes have arrived.
 //
