--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -10,8 +10,8 @@
 const noIndex = -1
 
 // Settings are the part of the configuration that applies to requests. They are immutable, except for what the counters, the
-// estimates of response times and the histories of lengths hold: a new configuration creates new Settings, and requests that were read before keep the
-// Settings that they were read with. Any goroutine may read them.
+// estimates of response times and the histories of lengths hold: a new configuration creates new Settings, and requests that were
+// read before keep the Settings that they were read with. Any goroutine may read them.
 type Settings struct {
 	ClassIndex map[string]int           // index in ClassNames and Classes, by name
 	ClassNames []string                 // in the order of Classes
--- a/internal/soak/exceptions.go
+++ b/internal/soak/exceptions.go
@@ -27,6 +27,20 @@
 	})
 }
 
+// excusedByKill is how long after SIGTERM a request may come whose response a later SIGKILL may cut off.
+const excusedByKill = 700 * time.Millisecond
+
+// cutOffByKill reports whether the response to a request ended when the platform killed a process of its sidecar at the end of a
+// shutdown, and whether that is excused: the request had come early enough.
+func (j *judge) cutOffByKill(e *Exchange) bool {
+	return slices.ContainsFunc(j.Incarnations, func(incarnation Incarnation) bool {
+		killedAfterTerm := !incarnation.KilledAt.IsZero() && !incarnation.TermAt.IsZero()
+		cameEarly := !e.SentAt.After(incarnation.TermAt.Add(excusedByKill))
+		endedThen := e.EndedAt.Sub(incarnation.KilledAt).Abs() <= recordSlack
+		return incarnation.Sidecar == e.Sidecar && killedAfterTerm && cameEarly && endedThen
+	})
+}
+
 // responseBroken reports whether an endpoint or the network may have broken the response to a request. It is always
 // true if the plan injects resets into reads of responses, because a sidecar cannot distinguish these resets from those
 // of an endpoint.
--- a/internal/soak/rule_response.go
+++ b/internal/soak/rule_response.go
@@ -24,7 +24,7 @@
 // response with status 200 may be long; the rule does not limit its time, because the client gives up on it itself.
 //
 // The rule does not apply if the process was killed without SIGTERM, if the endpoint or the network broke the response,
-// or if the sidecar closed the connection before it had read the request.
+// if it was a long response to an early request and the process was killed at the end of a shutdown, or if the sidecar closed the connection before it had read the request.
 func (j *judge) checkResponses() {
 	for i := range j.Exchanges {
 		j.checkResponse(&j.Exchanges[i])
@@ -42,7 +42,7 @@
 				e.EndedAt.Sub(e.SentAt), e.Deadline, lateResponseSlack+recordSlack)
 		}
 	case standin.ExchangeTruncated:
-		if !j.processKilled(e) && !j.responseBroken(e.TraceID) {
+		if !j.processKilled(e) && !j.responseBroken(e.TraceID) && !j.cutOffByKill(e) {
 			j.report(RuleResponse, e.TraceID,
 				"truncated response, although neither an endpoint nor the network broke it: %v", e.Err)
 		}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -35,7 +35,7 @@
 	requestWritten  atomic.Bool               // the kernel has accepted the last byte of the request
 	uploadSentAt    atomic.Pointer[time.Time] // when the last byte of a streamed request body was written; nil before
 	responseStarted atomic.Bool               // the head of a successful response has arrived
-	readerSetsLimit atomic.Bool               // the reader of the response determines its read deadlines, and sets a new one if one expires
+	readerSetsLimit atomic.Bool               // the reader of the response sets its deadlines, also when one has expired
 	withdrawn       atomic.Bool               // the endpoint had not received the complete request at SendBy
 
 	// The event loop owns the fields below. The goroutine of the attempt does not use them.
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -147,7 +147,8 @@
 	if outcome.Result != balance.OK {
 		return roundTripOutcome{outcome: outcome, connReusable: !response.Streaming && conn.reusableAfter(response)}
 	}
-	if response.Head.ContentLength < 0 {
+	lengthUnknown := response.Head.ContentLength < 0
+	if lengthUnknown {
 		c.metrics.UnknownLength.Count(observer.unknownLengthResult(response))
 	}
 	response.Head.Header.Del(LoadReportHeader)
@@ -159,7 +160,7 @@
 		return roundTripOutcome{outcome: outcome, connReusable: conn.reusableAfter(response)}
 	}
 	err := streamToClient(observer, response)
-	if errors.Is(err, errResponseOverdue) {
+	if lengthUnknown && errors.Is(err, errResponseOverdue) {
 		c.metrics.UnknownLength.EndedUndecided.Add(1)
 	}
 	outcome.Result = attempt.streamResult(err)
