Draw responses in lumps only for plans from a seed

The trace: request n0.5.60.x, whose endpoint wrote for over 2.3 s, the time of its client being 1.64 s. The sidecar of that test is a stand-in that reads whole responses and has no time limits; it is meant to have no fault in a plan without faults.

The rate is now part of the plan: 1 in 30 for each seed, as before, 0 for the plan of that test.

--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -25,9 +25,8 @@
 	maxPadding    = 4000
 	longPadding   = 100_000
 	oneInLongBody = 50
-	// On average, one body in oneInLumpyBody is written in 2 to maxLumps lumps, with pauses shorter than maxLumpPause in between,
-	// which may cross the end of the request's time, and has less than maxLumpyPadding bytes of padding.
-	oneInLumpyBody  = 30
+	// A lumpy body is written in 2 to maxLumps lumps, with pauses shorter than maxLumpPause in between, which may cross the end of
+	// the request's time, and has less than maxLumpyPadding bytes of padding.
 	maxLumps        = 4
 	maxLumpPause    = time.Second
 	maxLumpyPadding = 250_000
@@ -112,7 +111,7 @@
 	if r.random.IntN(oneInLongBody) == 0 {
 		reply.PaddingBytes = longPadding
 	}
-	if r.random.IntN(oneInLumpyBody) == 0 {
+	if r.random.Float64() < r.plan.LumpyRate {
 		reply.PartCount = 2 + r.random.IntN(maxLumps-1)
 		reply.PartPause = r.randomPause(maxLumpPause)
 		reply.PaddingBytes = r.random.IntN(maxLumpyPadding)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -20,6 +20,7 @@
 	SystemCallFaults SystemCallFaults
 	FailureRate      float64 // fraction of the attempts that an endpoint does not serve
 	DisconnectRate   float64 // fraction of the requests whose client disconnects early
+	LumpyRate        float64 // fraction of the responses that are written in lumps with long pauses
 	Events           []Event // sorted by time
 }
 
@@ -59,6 +60,9 @@
 	oneInIncompleteConns = 4
 )
 
+// lumpyRate is the LumpyRate of all plans that are drawn from a seed.
+const lumpyRate = 1. / 30
+
 // The values that a plan chooses from with equal probability.
 var (
 	socketLimits    = []int{128, 256, 512} // per sidecar
@@ -81,6 +85,7 @@
 		SystemCallFaults: randomSystemCallFaults(random, seed),
 		FailureRate:      failureRates[random.IntN(len(failureRates))],
 		DisconnectRate:   disconnectRates[random.IntN(len(disconnectRates))],
+		LumpyRate:        lumpyRate,
 	}
 	if random.IntN(oneInIncompleteConns) == 0 {
 		plan.IncompleteConns = plan.Sockets
