--- a/internal/http1/limits.go
+++ b/internal/http1/limits.go
@@ -10,3 +10,7 @@
 	// production have up to 32 MB.
 	MaxBody = 33 << 20
 )
+
+// IsLong reports whether a body is longer than MaxBufferedBody, judging by the bytes that have been received and those that are
+// announced beyond them.
+func IsLong(received, announced int64) bool { return announced > MaxBufferedBody-received }
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -165,9 +165,9 @@
 	return step
 }
 
-// longBody reports whether a body is longer than MaxBufferedBody, judging by the bytes that have been received and announced.
+// longBody reports whether a body of which bytes have been received is long.
 func longBody(resp *http.Response, received int) bool {
-	return received > 0 && announcedBytes(resp) > int64(MaxBufferedBody-received)
+	return received > 0 && IsLong(int64(received), announcedBytes(resp))
 }
 
 // bodyCapacity returns the next capacity of the buffer of a body: at first freeBodyBytes, then the declared length or, if that is
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -110,10 +110,9 @@
 	return a.responseDeadline()
 }
 
-// finalDeadline returns when the request must have its final response, if what it is can only be decided after its time:
-// balance.LateResponseGrace later, but in a shutdown no later than late requests have it.
-func (a *Attempt) finalDeadline() time.Time {
-	deadline := a.requestDeadline()
+// finalDeadline returns when the request must have its final response, if what it is can only be decided after its time, which
+// ends at deadline: balance.LateResponseGrace later, but in a shutdown no later than late requests have it.
+func (a *Attempt) finalDeadline(deadline time.Time) time.Time {
 	late := deadline.Add(balance.LateResponseGrace.Duration())
 	if a.Shutdown == nil {
 		return late
--- a/internal/upstream/lengthrecord.go
+++ b/internal/upstream/lengthrecord.go
@@ -27,7 +27,7 @@
 // observe records the length if it is known: the body is complete, or the bytes that have arrived and those that are announced are
 // more than a short response has.
 func (r *lengthRecord) observe(received, announced int64, complete bool) {
-	long := announced > http1.MaxBufferedBody-received
+	long := http1.IsLong(received, announced)
 	if r.done || !long && !complete {
 		return
 	}
--- a/internal/upstream/responsehold_test.go
+++ b/internal/upstream/responsehold_test.go
@@ -68,13 +68,12 @@
 	} {
 		t.Run(fmt.Sprint(respondBy), func(t *testing.T) {
 			attempt := newAttempt(newEndpoint(""), 0)
-			attempt.Deadline = deadline
 			attempt.Shutdown = &atomic.Pointer[exchange.ShutdownTimes]{}
-			if got := attempt.finalDeadline().Sub(deadline); got != 300*time.Millisecond {
+			if got := attempt.finalDeadline(deadline).Sub(deadline); got != 300*time.Millisecond {
 				t.Errorf("before the shutdown: got %v after the deadline, want 300 ms", got)
 			}
 			attempt.Shutdown.Store(&exchange.ShutdownTimes{RespondBy: deadline.Add(respondBy)})
-			if got := attempt.finalDeadline().Sub(deadline); got != want {
+			if got := attempt.finalDeadline(deadline).Sub(deadline); got != want {
 				t.Errorf("got %v after the deadline, want %v", got, want)
 			}
 		})
--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -57,9 +57,7 @@
 // announced, at least.
 func (l *responseLimit) record(bytes int, announced int64, pause time.Duration) {
 	l.received += int64(bytes)
-	if l.received > http1.MaxBufferedBody || announced > http1.MaxBufferedBody-l.received {
-		l.long = true
-	}
+	l.long = l.long || http1.IsLong(l.received, announced)
 	if bytes > 0 {
 		l.longestPause = max(l.longestPause, pause)
 	}
--- a/internal/upstream/responseobserver.go
+++ b/internal/upstream/responseobserver.go
@@ -81,7 +81,8 @@
 
 // nextStep returns what to do with a response of which so many bytes have arrived, and until when to wait for more.
 func (o *attemptObserver) nextStep(arrived int, now time.Time) (step http1.BodyStep, until time.Time) {
-	step, until = o.hold.next(arrived, now, o.attempt.requestDeadline(), o.attempt.finalDeadline())
+	deadline := o.attempt.requestDeadline()
+	step, until = o.hold.next(arrived, now, deadline, o.attempt.finalDeadline(deadline))
 	if step == http1.StreamBody {
 		o.streamedAs = metrics.ForwardedUndecided
 	}
