--- a/internal/endtoend/slowreader_test.go
+++ b/internal/endtoend/slowreader_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +27,6 @@
 	ordersPerSeed        = 60
 	ordersPerConnection  = 2
 	slowestReadRate      = 64 << 10 // bytes per second
-	fastestReadRate      = 8 << 20
 	largestReadLump      = 512 << 10
 	longestReadPause     = 2500 * time.Millisecond
 	longestWritePause    = 2 * time.Second
@@ -62,9 +62,7 @@
 	reading  slowReading
 	response *lumpyResponse // nil: a short one with a declared length
 	traceID  string
-
-	mu       sync.Mutex
-	attempts int
+	attempts atomic.Int32
 }
 
 // String describes the order for a report.
@@ -116,18 +114,10 @@
 	return r
 }
 
-// begin counts an attempt and returns its number, from 1.
-func (o *slowOrder) begin() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.attempts++
-	return o.attempts
-}
-
 // serve reads the order and responds as its endpoint does.
 func (o *slowOrder) serve(conn net.Conn, order *http.Request) bool {
 	const step = 16 << 10
-	r, attempt := o.reading, o.begin()
+	r, attempt := o.reading, o.attempts.Add(1)
 	total, lump := 0, 0
 	for {
 		n, err := io.CopyN(io.Discard, order.Body, step)
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -36,7 +36,8 @@
 // memory is Unknown.
 func peekDescriptor(fd int) State {
 	for {
-		n, err := peekOnce(fd)
+		var buffer [1]byte
+		n, err := peekOnce(fd, buffer[:])
 		switch {
 		case err == syscall.EINTR:
 			continue
@@ -51,12 +52,11 @@
 	}
 }
 
-// peekOnce receives the next byte without consuming it or blocking. The error is a syscall.Errno.
-func peekOnce(fd int) (int, error) {
+// peekOnce receives the next bytes without consuming them or blocking. The error is a syscall.Errno.
+func peekOnce(fd int, buffer []byte) (int, error) {
 	if err := fault.InjectedError(fault.Peek); err != nil {
 		return 0, err
 	}
-	var buffer [1]byte
-	n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, _, err := syscall.Recvfrom(fd, buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return n, err
 }
--- a/internal/socket/peekbytes.go
+++ b/internal/socket/peekbytes.go
@@ -1,10 +1,6 @@
 package socket
 
-import (
-	"syscall"
-
-	"cindersaddle/internal/fault"
-)
+import "syscall"
 
 // PeekBytes copies the bytes that can be read from a connection to a buffer. It neither consumes them nor blocks. ended reports
 // that these are all that will ever arrive.
@@ -22,7 +18,7 @@
 // peekBytes is PeekBytes for a descriptor. It returns 0 after an error.
 func peekBytes(fd int, buffer []byte) int {
 	for {
-		n, err := peekBytesOnce(fd, buffer)
+		n, err := peekOnce(fd, buffer)
 		if err == nil {
 			return n
 		}
@@ -31,12 +27,3 @@
 		}
 	}
 }
-
-// peekBytesOnce makes one system call. The error is a syscall.Errno.
-func peekBytesOnce(fd int, buffer []byte) (int, error) {
-	if err := fault.InjectedError(fault.Peek); err != nil {
-		return 0, err
-	}
-	n, _, err := syscall.Recvfrom(fd, buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -114,9 +114,6 @@
 // ends at deadline: balance.LateResponseGrace later, but in a shutdown no later than late requests have it.
 func (a *Attempt) finalDeadline(deadline time.Time) time.Time {
 	late := deadline.Add(balance.LateResponseGrace.Duration())
-	if a.Shutdown == nil {
-		return late
-	}
 	if times := a.Shutdown.Load(); times != nil && times.RespondBy.Before(late) {
 		return later(deadline, times.RespondBy)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -37,7 +37,7 @@
 func (c *Client) CloseIdle(endpoint *Endpoint) { c.pool.CloseIdle(endpoint) }
 
 // Do makes an attempt and returns its outcome. Unless the response is streamed, it returns no later than the deadline
-// of the attempt, and soon after a cancellation.
+// of the attempt, or balance.LateResponseGrace after it if the response has no length, and soon after a cancellation.
 func (c *Client) Do(attempt *Attempt) Outcome {
 	if attempt.obsolete() {
 		return Outcome{Result: balance.NotAttempted}
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,6 +49,7 @@
 func newAttempt(endpoint *Endpoint, timeout time.Duration) *Attempt {
 	attempt := &Attempt{
 		Endpoint: endpoint, Deadline: time.Now().Add(timeout), Observer: ignoringObserver{},
+		Shutdown: &atomic.Pointer[exchange.ShutdownTimes]{},
 		Message: &exchange.Message{
 			Method: "POST", RequestURI: "/api", Host: "app.svc", Header: http.Header{}, Body: []byte("order 7"),
 		},
--- a/internal/upstream/responsehold_test.go
+++ b/internal/upstream/responsehold_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,7 +67,6 @@
 	} {
 		t.Run(fmt.Sprint(respondBy), func(t *testing.T) {
 			attempt := newAttempt(newEndpoint(""), 0)
-			attempt.Shutdown = &atomic.Pointer[exchange.ShutdownTimes]{}
 			if got := attempt.finalDeadline(deadline).Sub(deadline); got != 300*time.Millisecond {
 				t.Errorf("before the shutdown: got %v after the deadline, want 300 ms", got)
 			}
--- a/internal/upstream/responselimit.go
+++ b/internal/upstream/responselimit.go
@@ -46,10 +46,10 @@
 	longestPause time.Duration    // between two parts of the body
 }
 
-// newResponseLimit returns the limit of a response of which nothing has been recorded. Its first bytes have arrived now.
-func newResponseLimit(declared int64, deadline func() time.Time, now time.Time) responseLimit {
+// newResponseLimit returns the limit of a response of which nothing has been recorded. Its first bytes had arrived at startedAt.
+func newResponseLimit(declared int64, deadline func() time.Time, startedAt time.Time) responseLimit {
 	return responseLimit{
-		declared: declared, deadline: deadline, startedAt: now, long: declared > http1.MaxBufferedBody,
+		declared: declared, deadline: deadline, startedAt: startedAt, long: declared > http1.MaxBufferedBody,
 	}
 }
 
